workspace: lay out slices, record types and contracts

The slices agree on ids, error kinds, log records, declarations, the order message, the ownership gate and the log trait before they are filled.

--- /dev/null
+++ b/crates/winch-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and failure experiments against real processes.
--- /dev/null
+++ b/crates/winch-bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs experiments and reports their figures.
+
+fn main() {}
--- /dev/null
+++ b/crates/winch-operator-api/src/lib.rs
@@ -0,0 +1,1 @@
+//! Generated client and server code of the operators' calls.
--- /dev/null
+++ b/crates/winch-standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs one stand-in of the platform's services.
+
+fn main() {}
--- /dev/null
+++ b/crates/winch-test-support/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fixture builders shared by the test programs.
--- /dev/null
+++ b/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Priority classes, queues and limits at the owner.
--- /dev/null
+++ b/src/base/collections.rs
@@ -0,0 +1,7 @@
+//! Aliases of the hash collections, with a fast hasher.
+
+/// A hash map with a fast hasher, for keys that callers do not choose.
+pub type FastMap<K, V> = rustc_hash::FxHashMap<K, V>;
+
+/// A hash set with a fast hasher, for keys that callers do not choose.
+pub type FastSet<T> = rustc_hash::FxHashSet<T>;
--- /dev/null
+++ b/src/base/hash.rs
@@ -0,0 +1,25 @@
+//! Stable hashes: equal on every process and in every version.
+
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::ids::KeyHash;
+use super::ids::SliceIndex;
+
+/// Hashes a key.
+pub fn hash_key(key: &[u8]) -> KeyHash {
+    xxh3_64(key)
+}
+
+/// Returns the slice of a key, for a service of `slices` slices.
+///
+/// `slices` is a power of two.
+pub fn slice_of(key: KeyHash, slices: u16) -> SliceIndex {
+    debug_assert!(slices.is_power_of_two(), "slices is a power of two");
+    (key & u64::from(slices - 1)) as SliceIndex
+}
+
+/// Scores a pair for rendezvous hashing.
+pub fn pair_score(left: u64, right: u64) -> u64 {
+    xxh3_64_with_seed(&left.to_le_bytes(), right)
+}
--- /dev/null
+++ b/src/bin/winchd/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `winchd`.
+
+fn main() {}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The callers' interface.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,42 @@
+//! Router for servers that own keys exclusively.
+//!
+//! One `winchd` process runs beside each upstream. Every process accepts
+//! callers, routes each request to the owner of its key, and owns keys on
+//! behalf of its own upstream. What has to be agreed or kept is appended to
+//! the platform's log; every process folds that log with the same pure rules.
+//!
+//! The library is split by duty:
+//!
+//! * [`base`]: identifiers, hashing, time and the closed list of error kinds.
+//! * [`declarations`]: what operators declare.
+//! * [`log`]: the client of the platform's log.
+//! * [`state`]: the records of the log and the state folded from them.
+//! * [`ownership`]: leases, witnesses, certificates and succession.
+//! * [`planner`]: which process is to hold which slice.
+//! * [`routing`]: from a request's key to the process that owns it.
+//! * [`transport`]: connections and datagrams between processes.
+//! * [`entry`]: the callers' interface.
+//! * [`admission`]: priority classes, queues and limits at the owner.
+//! * [`delivery`]: outcome table, gate and dispatch at the owner.
+//! * [`upstream`]: the upstreams' interface.
+//! * [`operator`]: the operators' interface.
+//! * [`settings`]: the settings of a process.
+//! * [`telemetry`]: logs and metrics.
+//! * [`node`]: one whole process.
+
+pub mod admission;
+pub mod base;
+pub mod declarations;
+pub mod delivery;
+pub mod entry;
+pub mod log;
+pub mod node;
+pub mod operator;
+pub mod ownership;
+pub mod planner;
+pub mod routing;
+pub mod settings;
+pub mod state;
+pub mod telemetry;
+pub mod transport;
+pub mod upstream;
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,1 @@
+//! One whole process.
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' interface.
--- /dev/null
+++ b/src/planner/mod.rs
@@ -0,0 +1,1 @@
+//! Which process is to hold which slice.
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! The settings of a process.
--- /dev/null
+++ b/src/state/folded.rs
@@ -0,0 +1,128 @@
+//! The state folded from the log.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::record::ChainKey;
+use super::record::MemberInfo;
+use crate::base::ids::ChangeId;
+use crate::base::ids::Epoch;
+use crate::base::ids::Incarnation;
+use crate::base::ids::Offset;
+use crate::base::ids::Sequence;
+use crate::base::ids::Term;
+use crate::base::ids::Version;
+use crate::declarations::Declaration;
+use crate::declarations::ObjectKey;
+
+/// One position of a chain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChainEntry {
+    /// Who holds the position.
+    pub holder: Incarnation,
+    /// Whether the holder has resigned it, for good.
+    pub resigned: bool,
+}
+
+/// The ordered holders of a slice or key: owner, then successors.
+///
+/// Position `i` may serve while its holder's lease is live and every earlier
+/// position has resigned or its holder has ended. Positions that resigned or
+/// ended are trimmed from the front.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderChain {
+    /// Epoch of the first entry.
+    pub base: Epoch,
+    /// The positions.
+    pub entries: Vec<ChainEntry>,
+}
+
+impl HolderChain {
+    /// Returns the epoch of the next appended holder.
+    pub fn tail(&self) -> Epoch {
+        self.base + self.entries.len() as Epoch
+    }
+}
+
+/// A member's witnesses.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WitnessSet {
+    /// Version; 0 before the planner named any.
+    pub version: Version,
+    /// The witnesses, at most one per failure domain where possible.
+    pub members: Vec<Incarnation>,
+}
+
+impl WitnessSet {
+    /// Returns how many witnesses make a quorum.
+    pub fn quorum(&self) -> usize {
+        self.members.len() / 2 + 1
+    }
+}
+
+/// A live member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberState {
+    /// What it said about itself.
+    pub info: MemberInfo,
+    /// Its witnesses.
+    pub witnesses: WitnessSet,
+    /// Its previous witnesses, until a later change.
+    pub previous_witnesses: WitnessSet,
+    /// Whether it is draining.
+    pub draining: bool,
+    /// Offset of its join.
+    pub joined_at: Offset,
+    /// Sequence of its last batch.
+    pub sequence: Sequence,
+}
+
+/// One version of a declared object.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObjectState {
+    /// The version.
+    pub version: Version,
+    /// The change that made it.
+    pub change: ChangeId,
+    /// Who made it.
+    pub operator: Box<str>,
+    /// The declaration; none when deleted.
+    pub declaration: Option<Declaration>,
+}
+
+/// What became of an operator's change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ChangeVerdict {
+    /// Accepted, as this version.
+    Accepted(Version),
+    /// Refused: another change won.
+    Conflict {
+        /// The version that won.
+        version: Version,
+        /// The change that won.
+        change: ChangeId,
+        /// Whose change won.
+        operator: Box<str>,
+    },
+}
+
+/// The state folded from the log below `next`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FoldedState {
+    /// The next offset to read.
+    pub next: Offset,
+    /// The planner's term; 0 before the first claim.
+    pub term: Term,
+    /// Who holds the term.
+    pub planner: Option<Incarnation>,
+    /// The live members.
+    pub members: BTreeMap<Incarnation, MemberState>,
+    /// The declared objects, deleted ones included.
+    pub objects: BTreeMap<ObjectKey, ObjectState>,
+    /// The chains of slices and single keys.
+    pub chains: BTreeMap<ChainKey, HolderChain>,
+    /// Verdicts on the latest changes, oldest first.
+    pub verdicts: Vec<(ChangeId, ChangeVerdict)>,
+}
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,1 @@
+//! Logs and metrics.
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,1 @@
+//! Connections and datagrams between processes.
--- /dev/null
+++ b/src/upstream/mod.rs
@@ -0,0 +1,1 @@
+//! The upstreams' interface: announcements, orders and probes.
--- /dev/null
+++ b/tests/testsuite/error_table.rs
@@ -0,0 +1,28 @@
+//! The table from error kind to answer is closed and unambiguous.
+
+use std::collections::HashSet;
+
+use buckthornwinch::base::error::ErrorKind;
+use buckthornwinch::base::error::RequestOutcome;
+
+#[test]
+fn every_kind_has_its_own_slug() {
+    let slugs: HashSet<&str> = ErrorKind::ALL
+        .iter()
+        .map(|kind| kind.answer().slug)
+        .collect();
+
+    assert_eq!(slugs.len(), ErrorKind::ALL.len());
+}
+
+#[test]
+fn only_requests_that_were_not_run_carry_a_retry_hint() {
+    for kind in ErrorKind::ALL {
+        let answer = kind.answer();
+
+        assert!(
+            !answer.retry_hint || answer.outcome == RequestOutcome::NotRun,
+            "{kind:?}"
+        );
+    }
+}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! The integration test program: one module per feature.
+
+mod error_table;
