--- a/src/state/folded.rs
+++ b/src/state/folded.rs
@@ -37,6 +37,10 @@
     pub base: Epoch,
     /// The positions.
     pub entries: Vec<ChainEntry>,
+    /// Holders below this epoch are asked to resign: successors at once, the
+    /// serving holder when it has finished what runs and handed over. Zero
+    /// when no move was planned.
+    pub target: Epoch,
 }
 
 impl HolderChain {
--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -89,6 +89,9 @@
     Slice(SliceIndex),
     /// A single key, by its hash.
     Key(KeyHash),
+    /// No exclusive ownership: any live member of the service may serve. Never
+    /// has a chain; the gate asks for a live lease only and the epoch is 0.
+    Any,
 }
 
 /// Names one chain.
@@ -110,6 +113,10 @@
     pub at: Epoch,
     /// The holders.
     pub holders: Vec<Incarnation>,
+    /// Whether this is a planned move: every earlier holder is asked to resign
+    /// in favour of the first appended one. See
+    /// [`HolderChain::target`](super::folded::HolderChain::target).
+    pub supersedes: bool,
 }
 
 /// Two witnesses' statement that an incarnation's lease has ended.
