--- /dev/null
+++ b/crates/winch-test-support/src/classes.rs
@@ -0,0 +1,30 @@
+//! Priority classes like those of the examples.
+
+use std::time::Duration;
+
+use buckthornwinch::declarations::ClassDeclaration;
+
+/// Internal checks, lookups, orders and reports, the most urgent first.
+pub fn example_classes() -> Vec<ClassDeclaration> {
+    vec![
+        class("checks", 0, (10, 1_000), 5, 1),
+        class("lookups", 1, (50, 500), 40, 0),
+        class("orders", 2, (200, 2_000), 30, 0),
+        class("reports", 3, (60_000, 0), 10, 0),
+    ]
+}
+
+/// A class by name, rank, target and deadline in milliseconds, share and
+/// reserve.
+pub fn class(name: &str, rank: u8, times: (u64, u64), share: u8, reserve: u16) -> ClassDeclaration {
+    ClassDeclaration {
+        name: name.into(),
+        rank,
+        target: Duration::from_millis(times.0),
+        share,
+        deadline: Duration::from_millis(times.1),
+        idempotent: name != "orders",
+        reserve,
+        queue: 8,
+    }
+}
--- a/crates/winch-test-support/src/lib.rs
+++ b/crates/winch-test-support/src/lib.rs
@@ -1,3 +1,5 @@
 //! Fixture builders shared by the test programs.
 
+pub mod classes;
+pub mod naive_scheduler;
 pub mod owner;
--- /dev/null
+++ b/crates/winch-test-support/src/naive_scheduler.rs
@@ -0,0 +1,284 @@
+//! A scheduler that keeps one list and sorts all of it at each step.
+//!
+//! It recomputes costs, rounds and debts from the whole history, and shares no
+//! code with the scheduler under test.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use buckthornwinch::base::error::ErrorKind;
+use buckthornwinch::declarations::ClassDeclaration;
+
+/// Virtual time between two services of one caller.
+const TURN: u64 = 1 << 20;
+
+/// A waiting request.
+#[derive(Debug, Clone)]
+struct NaiveEntry {
+    ticket: u64,
+    class: usize,
+    caller: u64,
+    deadline: Option<Duration>,
+}
+
+/// What happened to a class's slots, in order.
+#[derive(Debug, Clone, Copy)]
+enum NaiveEvent {
+    Started(usize),
+    Ended(usize, Duration),
+}
+
+/// A decision on a ticket: none starts it, a kind refuses it.
+pub type NaiveDecision = (u64, Option<ErrorKind>);
+
+/// The naive scheduler.
+#[derive(Debug)]
+pub struct NaiveScheduler {
+    classes: Vec<ClassDeclaration>,
+    waiting: Vec<NaiveEntry>,
+    events: Vec<NaiveEvent>,
+    now: Vec<u64>,
+    due: BTreeMap<(usize, u64), u64>,
+    overloaded: Vec<bool>,
+    /// How many requests may run at once.
+    pub limit: u64,
+    next_ticket: u64,
+}
+
+impl NaiveScheduler {
+    /// Creates a scheduler of classes in the order of their urgency.
+    pub fn new(classes: Vec<ClassDeclaration>) -> Self {
+        Self {
+            waiting: Vec::new(),
+            events: Vec::new(),
+            now: vec![0; classes.len()],
+            due: BTreeMap::new(),
+            overloaded: vec![false; classes.len()],
+            classes,
+            limit: 0,
+            next_ticket: 0,
+        }
+    }
+
+    /// Takes a request.
+    pub fn offer(
+        &mut self,
+        now: Duration,
+        class: usize,
+        caller: u64,
+        deadline: Option<Duration>,
+    ) -> Vec<NaiveDecision> {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        if deadline.is_some_and(|deadline| deadline <= now) {
+            return vec![(ticket, Some(ErrorKind::DeadlineBeforeStart))];
+        }
+        let may_wait = self.classes[class].deadline.is_zero();
+        if may_wait && self.count(class) >= self.classes[class].queue as usize {
+            return vec![(ticket, Some(ErrorKind::QueueFull))];
+        }
+        let left = deadline.map(|deadline| deadline.saturating_sub(now).as_micros());
+        if left.is_some_and(|left| self.wait(class) > left) {
+            return vec![(ticket, Some(ErrorKind::Overloaded))];
+        }
+        let due = self.now[class];
+        self.due.entry((class, caller)).or_insert(due);
+        self.waiting.push(NaiveEntry {
+            ticket,
+            class,
+            caller,
+            deadline,
+        });
+        if may_wait || self.can_start(class) || self.count(class) <= self.bound(class) {
+            return Vec::new();
+        }
+        self.overloaded[class] = true;
+        let mut victims: Vec<_> = self.of_class(class).cloned().collect();
+        victims.sort_by_key(|entry| (Reverse(self.count_of(class, entry.caller)), entry.ticket));
+        let victim = victims.first().map(|entry| entry.ticket);
+        self.withdraw(victim.unwrap_or(ticket));
+        vec![(victim.unwrap_or(ticket), Some(ErrorKind::Overloaded))]
+    }
+
+    /// Takes back a request that still waits.
+    pub fn withdraw(&mut self, ticket: u64) -> bool {
+        let position = self.waiting.iter().position(|entry| entry.ticket == ticket);
+        position.map(|position| self.take(position)).is_some()
+    }
+
+    /// Takes the end of a request.
+    pub fn finish(&mut self, class: usize, held: Duration) {
+        self.events.push(NaiveEvent::Ended(class, held));
+    }
+
+    /// Starts whatever may start.
+    pub fn start_ready(&mut self, now: Duration) -> Vec<NaiveDecision> {
+        let mut decisions = Vec::new();
+        loop {
+            let mut order: Vec<(_, usize)> = Vec::new();
+            for (position, entry) in self.waiting.iter().enumerate() {
+                if !self.can_start(entry.class) {
+                    continue;
+                }
+                let (owed, cost, running) = self.replay(entry.class);
+                let hundredths = owed / cost;
+                let urgency = if hundredths >= 100 {
+                    200 - hundredths
+                } else {
+                    u64::MAX
+                };
+                let age = if self.overloaded[entry.class] {
+                    u64::MAX - entry.ticket
+                } else {
+                    entry.ticket
+                };
+                let rank = self.classes[entry.class].rank;
+                let due = self.due[&(entry.class, entry.caller)];
+                let late = due.saturating_sub(self.now[entry.class]);
+                order.push(((urgency, rank, running, entry.class, late, age), position));
+            }
+            order.sort_unstable();
+            let Some(((.., late, _), position)) = order.first().copied() else {
+                return decisions;
+            };
+            let class = self.waiting[position].class;
+            self.pass_turn(class, self.waiting[position].caller, late);
+            let entry = self.take(position);
+            if entry.deadline.is_some_and(|deadline| deadline <= now) {
+                decisions.push((entry.ticket, Some(ErrorKind::DeadlineBeforeStart)));
+                continue;
+            }
+            self.events.push(NaiveEvent::Started(class));
+            decisions.push((entry.ticket, None));
+        }
+    }
+
+    /// One service is one turn of one of the waiting callers.
+    fn pass_turn(&mut self, class: usize, caller: u64, late: u64) {
+        let callers: BTreeSet<u64> = self.of_class(class).map(|entry| entry.caller).collect();
+        self.now[class] += late + TURN / callers.len() as u64;
+        self.due.insert((class, caller), self.now[class] + TURN);
+    }
+
+    fn of_class(&self, class: usize) -> impl Iterator<Item = &NaiveEntry> {
+        self.waiting
+            .iter()
+            .filter(move |entry| entry.class == class)
+    }
+
+    fn count(&self, class: usize) -> usize {
+        self.of_class(class).count()
+    }
+
+    fn count_of(&self, class: usize, caller: u64) -> usize {
+        self.of_class(class)
+            .filter(|entry| entry.caller == caller)
+            .count()
+    }
+
+    fn take(&mut self, position: usize) -> NaiveEntry {
+        let entry = self.waiting.remove(position);
+        if self.count_of(entry.class, entry.caller) == 0 {
+            self.due.remove(&(entry.class, entry.caller));
+        }
+        if self.count(entry.class) == 0 {
+            self.overloaded[entry.class] = false;
+        }
+        entry
+    }
+
+    /// Replays the history of a class: owed hundredths of slot time, cost and
+    /// running requests.
+    fn replay(&self, class: usize) -> (u64, u64, u64) {
+        let mut costs = vec![5_000_u64; self.classes.len()];
+        let mut seen = vec![false; self.classes.len()];
+        let (mut owed, mut running) = (0_u64, 0_u64);
+        for event in &self.events {
+            match *event {
+                NaiveEvent::Started(started) => {
+                    let earned = costs[started] * u64::from(self.classes[class].share);
+                    owed = (owed + earned).min(costs[class] * 200);
+                    if started == class {
+                        owed = owed.saturating_sub(costs[class] * 100);
+                        running += 1;
+                    }
+                }
+                NaiveEvent::Ended(ended, held) => {
+                    let sample = (held.as_micros() as u64).max(1);
+                    costs[ended] = if seen[ended] {
+                        ((costs[ended] * 15 + sample) / 16).max(1)
+                    } else {
+                        sample
+                    };
+                    seen[ended] = true;
+                    if ended == class {
+                        owed = owed.min(costs[class] * 200);
+                        running -= 1;
+                    }
+                }
+            }
+        }
+        (owed, costs[class], running)
+    }
+
+    fn running(&self, class: usize) -> u64 {
+        self.replay(class).2
+    }
+
+    fn can_start(&self, class: usize) -> bool {
+        let reserve = |class: usize| u64::from(self.classes[class].reserve);
+        let others = (0..self.classes.len()).filter(|other| *other != class);
+        let kept: u64 = others
+            .map(|other| reserve(other).saturating_sub(self.running(other)))
+            .sum();
+        let all: u64 = (0..self.classes.len())
+            .map(|class| self.running(class))
+            .sum();
+        let own_reserve = self.limit > 0 && self.running(class) < reserve(class);
+        own_reserve || all + kept < self.limit
+    }
+
+    /// Slots in hundredths by rank and by share, and the work ahead by rank.
+    fn capacity(&self, class: usize) -> (u128, u128, u128) {
+        let rank = self.classes[class].rank;
+        let urgent = (0..self.classes.len()).filter(|other| self.classes[*other].rank < rank);
+        let (mut busy, mut work) = (0, 0);
+        for other in urgent {
+            let (_, cost, running) = self.replay(other);
+            busy += running;
+            work += u128::from(cost) * self.count(other) as u128;
+        }
+        let free = u128::from(self.limit.saturating_sub(busy)) * 100;
+        let share = u128::from(self.limit) * u128::from(self.classes[class].share);
+        (free, share, work)
+    }
+
+    fn wait(&self, class: usize) -> u128 {
+        if self.count(class) == 0 && self.can_start(class) {
+            return 0;
+        }
+        let (free, share, work) = self.capacity(class);
+        let passed = if self.overloaded[class] {
+            0
+        } else {
+            self.count(class)
+        };
+        let own = u128::from(self.replay(class).1) * (passed as u128 + 1);
+        let never = u128::from(u64::MAX);
+        let by_rank = ((own + work) * 100).checked_div(free).unwrap_or(never);
+        let by_share = (own * 100).checked_div(share).unwrap_or(never);
+        by_rank.min(by_share)
+    }
+
+    fn bound(&self, class: usize) -> usize {
+        let (free, share, work) = self.capacity(class);
+        let target = self.classes[class].target.as_micros() / 2;
+        let by_rank = (target * free / 100).saturating_sub(work);
+        let by_share = target * share / 100;
+        let bound = by_rank.max(by_share) / u128::from(self.replay(class).1);
+        let queue = (self.classes[class].queue as usize).max(2);
+        (bound as usize).clamp(2, queue)
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! The integration test program: one module per feature.
 
+mod admission_scheduler;
 mod delivery;
 mod error_table;
