state: fold batches of the log into the state

Cause: every process needs the same pure rules from the log's entries to members, terms, chains, objects and verdicts.

Two points that the records left open: - Ended incarnations are remembered (4,096 one by one, older ones by a floor), or a late copy of a join would bring one back. - A key's chain starts as a copy of its slice's chain and is dropped only when the slice's serving holder alone is left in it and no epoch goes down; otherwise a successor that has not read the split could serve the key beside the key's own holder.

Conclusion: copies, stale records and terms behave; chains keep their epochs.

--- a/crates/winch-test-support/src/lib.rs
+++ b/crates/winch-test-support/src/lib.rs
@@ -1,1 +1,3 @@
 //! Fixture builders shared by the test programs.
+
+pub mod records;
--- /dev/null
+++ b/src/state/fold_change.rs
@@ -0,0 +1,79 @@
+//! The fold's rules on operators' changes.
+//!
+//! The first change in log order that is based on the current version wins.
+//! A deleted object keeps its version, so that a change which was made before
+//! the deletion never brings the object back.
+
+use super::effect::FoldEffect;
+use super::effect::IgnoreReason;
+use super::fold::BatchFold;
+use super::fold::RuleResult;
+use super::folded::ChangeVerdict;
+use super::folded::FoldedState;
+use super::folded::ObjectState;
+use super::record::ChangeRecord;
+
+/// How many verdicts the state keeps.
+pub const MAX_VERDICTS: usize = 1024;
+
+impl FoldedState {
+    /// Returns what became of a change, while the state remembers it.
+    pub fn verdict_of(&self, change: &str) -> Option<&ChangeVerdict> {
+        self.verdicts
+            .iter()
+            .rev()
+            .find(|(id, _)| **id == *change)
+            .map(|(_, verdict)| verdict)
+    }
+
+    fn note_verdict(&mut self, change: &str, verdict: ChangeVerdict) {
+        if self.verdicts.len() >= MAX_VERDICTS {
+            self.verdicts.remove(0);
+        }
+        self.verdicts.push((change.into(), verdict));
+    }
+
+    /// Remembers an operator's declaration that an incarnation is lost. It
+    /// makes no version.
+    pub(super) fn note_declared_lost(&mut self, change: &str) {
+        self.note_verdict(change, ChangeVerdict::Accepted(0));
+    }
+}
+
+impl BatchFold<'_> {
+    pub(super) fn change(&mut self, record: &ChangeRecord) -> RuleResult {
+        if let Some(verdict) = self.state.verdict_of(&record.change) {
+            return Ok(FoldEffect::Change(verdict.clone()));
+        }
+        let declared = record.declaration.as_ref();
+        if declared.is_some_and(|declaration| declaration.key() != record.object) {
+            return Err(IgnoreReason::WrongObject);
+        }
+        let verdict = self.judge(record);
+        if let ChangeVerdict::Accepted(version) = verdict {
+            let object = ObjectState {
+                version,
+                change: record.change.clone(),
+                operator: record.operator.clone(),
+                declaration: record.declaration.clone(),
+            };
+            self.state.objects.insert(record.object.clone(), object);
+        }
+        self.state.note_verdict(&record.change, verdict.clone());
+        Ok(FoldEffect::Change(verdict))
+    }
+
+    fn judge(&self, record: &ChangeRecord) -> ChangeVerdict {
+        let current = self.state.objects.get(&record.object);
+        let version = current.map_or(0, |object| object.version);
+        match current {
+            Some(object) if object.change == record.change => ChangeVerdict::Accepted(version),
+            _ if record.base == version => ChangeVerdict::Accepted(version + 1),
+            current => ChangeVerdict::Conflict {
+                version,
+                change: current.map_or_else(Box::default, |object| object.change.clone()),
+                operator: current.map_or_else(Box::default, |object| object.operator.clone()),
+            },
+        }
+    }
+}
--- a/src/state/folded.rs
+++ b/src/state/folded.rs
@@ -1,6 +1,7 @@
 //! The state folded from the log.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -112,6 +113,41 @@
     },
 }
 
+/// Incarnations that ended, so that a late copy of a join brings none back.
+///
+/// Bounded: the smallest incarnations, which started first, are remembered by
+/// a floor alone. An incarnation at or below the floor cannot join.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedSet {
+    floor: Incarnation,
+    recent: BTreeSet<Incarnation>,
+}
+
+impl EndedSet {
+    /// How many incarnations are remembered one by one.
+    pub const CAPACITY: usize = 4096;
+
+    /// Adds an incarnation.
+    pub fn insert(&mut self, incarnation: Incarnation) {
+        self.recent.insert(incarnation);
+        while self.recent.len() > Self::CAPACITY {
+            if let Some(smallest) = self.recent.pop_first() {
+                self.floor = self.floor.max(smallest);
+            }
+        }
+    }
+
+    /// Tells whether an incarnation ended or is too old to join.
+    pub fn contains(&self, incarnation: Incarnation) -> bool {
+        incarnation <= self.floor || self.recent.contains(&incarnation)
+    }
+
+    /// Returns the greatest incarnation that is too old to join.
+    pub fn floor(&self) -> Incarnation {
+        self.floor
+    }
+}
+
 /// The state folded from the log below `next`.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FoldedState {
@@ -123,6 +159,8 @@
     pub planner: Option<Incarnation>,
     /// The live members.
     pub members: BTreeMap<Incarnation, MemberState>,
+    /// The incarnations that ended.
+    pub ended: EndedSet,
     /// The declared objects, deleted ones included.
     pub objects: BTreeMap<ObjectKey, ObjectState>,
     /// The chains of slices and single keys.
--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -104,6 +104,9 @@
 }
 
 /// Appends holders to a chain's tail.
+///
+/// A key's chain starts as a copy of its slice's chain, so that whoever may
+/// serve the key as part of the slice precedes the appended holders.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChainAppend {
     /// The chain.
@@ -155,7 +158,8 @@
     pub operator: Box<str>,
     /// The object.
     pub object: ObjectKey,
-    /// The version that the change is based on; 0 creates the object.
+    /// The version that the change is based on; 0 for an object that never
+    /// existed. A deleted object keeps its version.
     pub base: Version,
     /// The new declaration; none deletes the object.
     pub declaration: Option<Declaration>,
@@ -210,8 +214,9 @@
         /// The chains with the author's epoch in each.
         positions: Vec<(ChainKey, Epoch)>,
     },
-    /// The planner drops the chains of single keys, whose owner must be the
-    /// serving holder of the key's slice.
+    /// The planner drops the chains of single keys. The serving holder of the
+    /// key's slice must be the only one left in the key's chain, and neither
+    /// its epoch nor the tail of the key's chain may exceed the slice's.
     Merge {
         /// The planner's term.
         term: Term,
--- /dev/null
+++ b/tests/testsuite/fold.rs
@@ -0,0 +1,352 @@
+//! The fold: stale records, duplicates, terms and epochs.
+
+use std::collections::BTreeMap;
+
+use buckthornwinch::base::ids::Epoch;
+use buckthornwinch::base::ids::Incarnation;
+use buckthornwinch::base::ids::Term;
+use buckthornwinch::state::effect::FoldEffect;
+use buckthornwinch::state::effect::IgnoreReason;
+use buckthornwinch::state::folded::FoldedState;
+use buckthornwinch::state::record::ChainAppend;
+use buckthornwinch::state::record::ChainKey;
+use buckthornwinch::state::record::EndProof;
+use buckthornwinch::state::record::LapseCertificate;
+use buckthornwinch::state::record::LogBatch;
+use buckthornwinch::state::record::LogRecord;
+use proptest::prelude::*;
+use winch_test_support::records::batch;
+use winch_test_support::records::change;
+use winch_test_support::records::join;
+use winch_test_support::records::key;
+use winch_test_support::records::member_info;
+use winch_test_support::records::random_history;
+use winch_test_support::records::service;
+use winch_test_support::records::slice;
+
+const HISTORY: usize = 120;
+
+/// Members 1 to 4, planner 1 at term 1, the service at 4 slices.
+fn fleet() -> FoldedState {
+    let mut state = FoldedState::default();
+    for node in 1..=4 {
+        fold(
+            &mut state,
+            &batch(u64::from(node), 1, vec![join(node, u64::from(node))]),
+        );
+    }
+    let records = vec![
+        LogRecord::Claim { term: 1 },
+        change("first", 0, service(4, 100)),
+    ];
+    fold(&mut state, &batch(1, 2, records));
+    state
+}
+
+fn fold(state: &mut FoldedState, batch: &LogBatch) -> Vec<FoldEffect> {
+    state.apply(state.next, batch)
+}
+
+/// Folds one record of a live member with its next sequence.
+fn fold_one(state: &mut FoldedState, author: Incarnation, record: LogRecord) -> FoldEffect {
+    let sequence = state.members.get(&author).map_or(0, |it| it.sequence);
+    fold(state, &batch(author, sequence + 1, vec![record])).remove(0)
+}
+
+fn assign(chain: ChainKey, at: Epoch, holders: &[Incarnation]) -> LogRecord {
+    LogRecord::Assign {
+        term: 1,
+        appends: vec![ChainAppend {
+            chain,
+            at,
+            holders: holders.to_vec(),
+            supersedes: false,
+        }],
+    }
+}
+
+fn certificate(subject: Incarnation, set_version: u64, witnesses: &[Incarnation]) -> LogRecord {
+    LogRecord::Ended {
+        member: subject,
+        proof: EndProof::Certificate(LapseCertificate {
+            subject,
+            set_version,
+            witnesses: witnesses.to_vec(),
+        }),
+    }
+}
+
+fn name_witnesses(version: u64, witnesses: &[Incarnation]) -> LogRecord {
+    LogRecord::Witnesses {
+        term: 1,
+        member: 1,
+        version,
+        witnesses: witnesses.to_vec(),
+    }
+}
+
+#[test]
+fn newer_incarnation_on_the_address_ends_the_older_for_good() {
+    let mut state = fleet();
+
+    let newer = fold(&mut state, &batch(9, 1, vec![join(2, 9)]));
+    let again = fold(&mut state, &batch(2, 2, vec![join(2, 2)]));
+
+    assert_eq!(newer, [FoldEffect::Accepted]);
+    assert_eq!(again, [FoldEffect::Ignored(IgnoreReason::IncarnationEnded)]);
+    assert!(!state.members.contains_key(&2));
+}
+
+#[test]
+fn join_of_the_same_incarnation_changes_its_facts_only() {
+    let mut state = fleet();
+    let mut info = member_info(2, 2);
+    info.upstream.slots = 3;
+
+    let effect = fold_one(&mut state, 2, LogRecord::Join(Box::new(info)));
+
+    assert_eq!(effect, FoldEffect::Accepted);
+    assert_eq!(state.members[&2].info.upstream.slots, 3);
+    assert_eq!(state.members[&2].joined_at, 1);
+}
+
+#[test]
+fn certificate_needs_a_quorum_of_the_named_set() {
+    let mut state = fleet();
+    fold_one(&mut state, 1, name_witnesses(1, &[2, 3, 4]));
+
+    let single = fold_one(&mut state, 2, certificate(1, 1, &[2]));
+    let repeated = fold_one(&mut state, 2, certificate(1, 1, &[2, 2]));
+    let unknown = fold_one(&mut state, 2, certificate(1, 7, &[2, 3]));
+    let quorum = fold_one(&mut state, 2, certificate(1, 1, &[2, 3]));
+
+    assert_eq!(single, FoldEffect::Ignored(IgnoreReason::NoQuorum));
+    assert_eq!(repeated, FoldEffect::Ignored(IgnoreReason::NoQuorum));
+    assert_eq!(unknown, FoldEffect::Ignored(IgnoreReason::StaleVersion));
+    assert_eq!(quorum, FoldEffect::Accepted);
+    assert_eq!(state.planner, None);
+}
+
+#[test]
+fn previous_witnesses_may_certify_until_the_next_change() {
+    let mut state = fleet();
+    fold_one(&mut state, 1, name_witnesses(1, &[2, 3]));
+    fold_one(&mut state, 1, name_witnesses(2, &[3, 4]));
+
+    let previous = state.clone();
+    let mut changed = state;
+    fold_one(&mut changed, 1, name_witnesses(3, &[2, 4]));
+
+    let mut before = previous;
+    assert!(fold_one(&mut before, 2, certificate(1, 1, &[2, 3])).is_accepted());
+    assert!(!fold_one(&mut changed, 2, certificate(1, 1, &[2, 3])).is_accepted());
+}
+
+#[test]
+fn ended_holders_are_trimmed_and_the_base_advances() {
+    let mut state = fleet();
+    fold_one(&mut state, 1, assign(slice(0), 0, &[2, 3, 4]));
+
+    let left = LogRecord::Ended {
+        member: 2,
+        proof: EndProof::Left,
+    };
+    fold_one(&mut state, 2, left);
+    let resign = LogRecord::Resign {
+        positions: vec![(slice(0), 1), (slice(0), 2)],
+    };
+    let effect = fold_one(&mut state, 3, resign);
+
+    let chain = &state.chains[&slice(0)];
+    assert_eq!(
+        effect,
+        FoldEffect::Partial {
+            taken: 1,
+            reason: IgnoreReason::NotHolder
+        }
+    );
+    assert_eq!((chain.base, chain.tail()), (2, 3));
+    assert_eq!(state.serving(chain), Some((2, 4)));
+}
+
+#[test]
+fn draining_and_unknown_members_get_no_positions() {
+    let mut state = fleet();
+    fold_one(&mut state, 1, LogRecord::Drain { member: 2 });
+
+    let draining = fold_one(&mut state, 1, assign(slice(0), 0, &[3, 2]));
+    let unknown = fold_one(&mut state, 1, assign(slice(0), 0, &[77]));
+    let elsewhere = fold_one(&mut state, 1, assign(slice(9), 0, &[3]));
+
+    assert_eq!(draining, FoldEffect::Ignored(IgnoreReason::Ineligible));
+    assert_eq!(unknown, FoldEffect::Ignored(IgnoreReason::Ineligible));
+    assert_eq!(elsewhere, FoldEffect::Ignored(IgnoreReason::UnknownChain));
+}
+
+#[test]
+fn older_planner_changes_nothing() {
+    let mut state = fleet();
+    fold_one(&mut state, 2, LogRecord::Claim { term: 2 });
+
+    let effect = fold_one(&mut state, 1, assign(slice(0), 0, &[1]));
+
+    assert_eq!(effect, FoldEffect::Ignored(IgnoreReason::StaleTerm));
+    assert_eq!(state.planner, Some(2));
+}
+
+#[test]
+fn chain_of_a_key_starts_as_its_slices_chain_and_merges_back_last() {
+    let mut state = fleet();
+    fold_one(&mut state, 1, assign(slice(0), 0, &[2, 3]));
+    fold_one(&mut state, 1, assign(key(8), 2, &[4]));
+    let split = state.chains[&key(8)].clone();
+    let merge = LogRecord::Merge {
+        term: 1,
+        chains: vec![key(8)],
+    };
+
+    let early = fold_one(&mut state, 1, merge.clone());
+    let resign = |epoch| LogRecord::Resign {
+        positions: vec![(key(8), epoch)],
+    };
+    fold_one(&mut state, 3, resign(1));
+    fold_one(&mut state, 4, resign(2));
+    let lower = fold_one(&mut state, 1, merge.clone());
+    fold_one(&mut state, 1, assign(slice(0), 2, &[3]));
+    let late = fold_one(&mut state, 1, merge);
+
+    let holders: Vec<Incarnation> = split.entries.iter().map(|it| it.holder).collect();
+    assert_eq!(holders, [2, 3, 4]);
+    assert_eq!(early, FoldEffect::Ignored(IgnoreReason::NotMergeable));
+    assert_eq!(lower, FoldEffect::Ignored(IgnoreReason::NotMergeable));
+    assert_eq!(late, FoldEffect::Accepted);
+}
+
+fn state_of(stream: &[(u64, LogBatch)]) -> FoldedState {
+    let mut state = FoldedState::default();
+    for (offset, batch) in stream {
+        state.apply(*offset, batch);
+    }
+    state
+}
+
+/// The history with copies of earlier batches between, and without.
+fn with_copies(history: &[LogBatch], copies: &[(u8, u8)]) -> [Vec<(u64, LogBatch)>; 2] {
+    let mut all = Vec::new();
+    let mut once = Vec::new();
+    for (index, batch) in history.iter().enumerate() {
+        let offset = all.len() as u64;
+        all.push((offset, batch.clone()));
+        once.push((offset, batch.clone()));
+        for (at, back) in copies {
+            if usize::from(*at) % history.len() == index {
+                let earlier = index.saturating_sub(usize::from(*back));
+                all.push((all.len() as u64, history[earlier].clone()));
+            }
+        }
+    }
+    [all, once]
+}
+
+/// Epoch of the next holder for each slice and key of the histories.
+fn tails(state: &FoldedState) -> BTreeMap<ChainKey, Epoch> {
+    let chains = (0..4).map(slice).chain((0..3).map(key));
+    chains
+        .filter_map(|chain| Some((chain.clone(), state.tail_of(&chain)?)))
+        .collect()
+}
+
+/// Epoch that serves each slice and key of the histories.
+fn serving_epochs(state: &FoldedState) -> BTreeMap<ChainKey, Epoch> {
+    let chains = (0..4).map(slice).chain((0..3).map(key));
+    chains
+        .filter_map(|key| {
+            let slice = state.slice_chain(&key)?;
+            let chain = state.chains.get(&key).or(state.chains.get(&slice))?;
+            Some((key, state.serving(chain)?.0))
+        })
+        .collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    #[test]
+    fn copies_of_batches_fold_to_nothing(
+        seed: u64,
+        copies: Vec<(u8, u8)>,
+    ) {
+        let history = random_history(seed, HISTORY);
+        let [all, once] = with_copies(&history, &copies);
+
+        let mut copied = state_of(&all);
+        let mut clean = state_of(&once);
+
+        let next = copied.next.max(clean.next);
+        copied.next = next;
+        clean.next = next;
+        prop_assert_eq!(copied, clean);
+    }
+
+    #[test]
+    fn one_planner_a_term_and_no_epoch_goes_down(seed: u64) {
+        let mut state = FoldedState::default();
+        let mut planners: BTreeMap<Term, Incarnation> = BTreeMap::new();
+        for batch in random_history(seed, HISTORY) {
+            let before = (state.term, tails(&state), serving_epochs(&state));
+
+            fold(&mut state, &batch);
+
+            prop_assert!(state.term >= before.0);
+            if let Some(planner) = state.planner {
+                prop_assert_eq!(*planners.entry(state.term).or_insert(planner), planner);
+            }
+            let now = tails(&state);
+            for (chain, tail) in before.1 {
+                prop_assert!(now[&chain] >= tail, "tail of {chain:?} went down");
+            }
+            let serving = serving_epochs(&state);
+            for (chain, epoch) in before.2 {
+                let now = serving.get(&chain);
+                prop_assert!(now.is_none_or(|now| *now >= epoch), "{chain:?} went down");
+            }
+        }
+    }
+
+    #[test]
+    fn stale_records_fold_to_nothing(seed: u64) {
+        let history = random_history(seed, HISTORY);
+        let mut state = FoldedState::default();
+        for batch in &history {
+            state.apply(state.next, batch);
+        }
+        let before = state.clone();
+
+        for batch in history {
+            let effects = state.apply(before.next, &batch);
+            state.next = before.next;
+            prop_assert!(effects.iter().all(|it| matches!(it, FoldEffect::Ignored(_))));
+        }
+
+        prop_assert_eq!(state, before);
+    }
+
+    #[test]
+    fn holders_and_witnesses_were_members(seed: u64) {
+        let state = random_history(seed, HISTORY).iter().fold(
+            FoldedState::default(),
+            |mut state, batch| {
+                state.apply(state.next, batch);
+                state
+            },
+        );
+
+        for chain in state.chains.values() {
+            let first = chain.entries.first();
+            prop_assert!(first.is_none_or(|entry| !state.is_passed(entry)));
+        }
+        for member in state.members.keys() {
+            prop_assert!(!state.ended.contains(*member));
+        }
+    }
+}
