log: client, follower and writer (tests follow)

Cause: the fold needs a reader and a writer of the log.

Change: HTTP client, follower, and a writer that commits what waits as one batch and appends an ambiguous batch again under its sequence.

--- /dev/null
+++ b/src/log/follower.rs
@@ -0,0 +1,276 @@
+//! Reads the log, folds it and publishes the state.
+//!
+//! A reader task polls the log and hands pages to the [`LogFollower`] actor,
+//! which folds them. An entry that cannot be decoded is passed over. While the
+//! log is down the last state stays published, and a newer one may be taken
+//! from a peer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use xtra::Address;
+use xtra::Context;
+use xtra::Handler;
+use xtra::Mailbox;
+
+use super::reader::LogReader;
+use super::service::LogEntry;
+use super::service::LogPage;
+use super::service::LogService;
+use crate::base::collections::FastMap;
+use crate::base::ids::Incarnation;
+use crate::base::ids::Offset;
+use crate::base::ids::Sequence;
+use crate::state::codec::decode_batch;
+use crate::state::effect::FoldEffect;
+use crate::state::folded::FoldedState;
+
+/// Messages that may wait for the follower.
+const MAILBOX_CAPACITY: usize = 64;
+
+/// How the log is followed.
+#[derive(Debug, Clone, PartialEq, Eq, bon::Builder)]
+pub struct FollowerSettings {
+    /// Entries that one read asks for.
+    #[builder(default = 128)]
+    pub page_limit: usize,
+    /// Least time between reads that found nothing.
+    #[builder(default = Duration::from_secs(1))]
+    pub poll_interval: Duration,
+    /// Longest wait after the first failed read.
+    #[builder(default = Duration::from_millis(100))]
+    pub retry_base: Duration,
+    /// Longest wait after any failed read.
+    #[builder(default = Duration::from_secs(2))]
+    pub retry_limit: Duration,
+}
+
+impl Default for FollowerSettings {
+    fn default() -> Self {
+        Self::builder().build()
+    }
+}
+
+/// What the follower has counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FollowerCounters {
+    /// Batches folded.
+    pub batches: u64,
+    /// Entries passed over because they cannot be decoded.
+    pub undecodable: u64,
+    /// States taken from peers or snapshots.
+    pub installed: u64,
+}
+
+/// Folds pages of the log and publishes the state.
+#[derive(Debug, xtra::Actor)]
+pub struct LogFollower {
+    state: Arc<FoldedState>,
+    states: watch::Sender<Arc<FoldedState>>,
+    waiting: FastMap<(Incarnation, Sequence), oneshot::Sender<Vec<FoldEffect>>>,
+    counters: FollowerCounters,
+    nudge: Arc<Notify>,
+}
+
+/// Folds a page; answers with the next offset to read.
+#[derive(Debug)]
+pub(super) struct FoldPage(pub(super) LogPage);
+
+#[derive(Debug)]
+struct InstallState(FoldedState);
+
+#[derive(Debug)]
+struct AwaitEffects {
+    author: Incarnation,
+    sequence: Sequence,
+}
+
+#[derive(Debug)]
+struct ReadCounters;
+
+/// Starts to follow a log from `state`.
+///
+/// The follower ends when the last handle is dropped.
+pub fn start_follower<L: LogService>(
+    log: L,
+    state: FoldedState,
+    settings: FollowerSettings,
+) -> FollowerHandle {
+    let from = state.next;
+    let state = Arc::new(state);
+    let (sender, states) = watch::channel(Arc::clone(&state));
+    let nudge = Arc::new(Notify::new());
+    let actor = LogFollower {
+        state,
+        states: sender,
+        waiting: FastMap::default(),
+        counters: FollowerCounters::default(),
+        nudge: Arc::clone(&nudge),
+    };
+    let address = xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX_CAPACITY));
+    let reader = LogReader::new(log, address.downgrade(), Arc::clone(&nudge), settings);
+    tokio::spawn(reader.run(from));
+    FollowerHandle {
+        address,
+        states,
+        nudge,
+    }
+}
+
+/// Access to a running follower.
+#[derive(Debug, Clone)]
+pub struct FollowerHandle {
+    address: Address<LogFollower>,
+    states: watch::Receiver<Arc<FoldedState>>,
+    nudge: Arc<Notify>,
+}
+
+impl FollowerHandle {
+    /// Subscribes to the published states.
+    pub fn states(&self) -> watch::Receiver<Arc<FoldedState>> {
+        self.states.clone()
+    }
+
+    /// Returns the latest published state.
+    pub fn state(&self) -> Arc<FoldedState> {
+        Arc::clone(&self.states.borrow())
+    }
+
+    /// Reads at once if the log is said to go beyond what was folded.
+    pub fn nudge(&self, end: Offset) {
+        if end > self.states.borrow().next {
+            self.nudge.notify_one();
+        }
+    }
+
+    /// Takes a peer's state if it is newer; tells whether it was taken.
+    pub async fn install(&self, state: FoldedState) -> bool {
+        self.address
+            .send(InstallState(state))
+            .await
+            .unwrap_or(false)
+    }
+
+    /// Waits for the effects of a batch that is yet to be folded.
+    ///
+    /// The receiver fails if the batch was passed without seeing its effects,
+    /// as after a state was installed.
+    pub async fn await_effects(
+        &self,
+        author: Incarnation,
+        sequence: Sequence,
+    ) -> oneshot::Receiver<Vec<FoldEffect>> {
+        let message = AwaitEffects { author, sequence };
+        let registered = self.address.send(message).await;
+        registered.unwrap_or_else(|_stopped| oneshot::channel().1)
+    }
+
+    /// Returns what was counted since the start.
+    pub async fn counters(&self) -> FollowerCounters {
+        self.address.send(ReadCounters).await.unwrap_or_default()
+    }
+}
+
+impl LogFollower {
+    fn fold_entry(&mut self, entry: &LogEntry) {
+        let state = Arc::make_mut(&mut self.state);
+        if entry.offset < state.next {
+            return;
+        }
+        match decode_batch(&entry.data) {
+            Ok(batch) => {
+                let effects = state.apply(entry.offset, &batch);
+                self.counters.batches += 1;
+                if let Some(waiter) = self.waiting.remove(&(batch.author, batch.sequence)) {
+                    // The writer may have given up, which is no fault here.
+                    let _ = waiter.send(effects);
+                }
+            }
+            Err(error) => {
+                state.skip(entry.offset);
+                self.counters.undecodable += 1;
+                let offset = entry.offset;
+                log::warn!("log: skipped the undecodable entry at offset {offset}: {error:?}");
+            }
+        }
+    }
+
+    fn publish(&self) {
+        self.states.send_replace(Arc::clone(&self.state));
+    }
+
+    /// Drops those who wait for a batch whose effects will not be seen.
+    fn drop_passed_waiters(&mut self) {
+        let members = &self.state.members;
+        self.waiting.retain(|(author, sequence), waiter| {
+            let is_passed = members
+                .get(author)
+                .is_some_and(|member| member.sequence >= *sequence);
+            !is_passed && !waiter.is_closed()
+        });
+    }
+}
+
+impl Handler<FoldPage> for LogFollower {
+    type Return = Offset;
+
+    async fn handle(&mut self, message: FoldPage, _ctx: &mut Context<Self>) -> Offset {
+        let before = self.state.next;
+        for entry in &message.0.entries {
+            self.fold_entry(entry);
+        }
+        if self.state.next > before {
+            self.publish();
+        }
+        self.state.next
+    }
+}
+
+impl Handler<InstallState> for LogFollower {
+    type Return = bool;
+
+    async fn handle(&mut self, message: InstallState, _ctx: &mut Context<Self>) -> bool {
+        let InstallState(state) = message;
+        if state.next <= self.state.next {
+            return false;
+        }
+        log::info!(
+            "log: took a state at offset {} in place of {}",
+            state.next,
+            self.state.next
+        );
+        self.state = Arc::new(state);
+        self.counters.installed += 1;
+        self.drop_passed_waiters();
+        self.publish();
+        self.nudge.notify_one();
+        true
+    }
+}
+
+impl Handler<AwaitEffects> for LogFollower {
+    type Return = oneshot::Receiver<Vec<FoldEffect>>;
+
+    async fn handle(&mut self, message: AwaitEffects, _ctx: &mut Context<Self>) -> Self::Return {
+        let (sender, receiver) = oneshot::channel();
+        self.waiting
+            .insert((message.author, message.sequence), sender);
+        self.drop_passed_waiters();
+        receiver
+    }
+}
+
+impl Handler<ReadCounters> for LogFollower {
+    type Return = FollowerCounters;
+
+    async fn handle(
+        &mut self,
+        _message: ReadCounters,
+        _ctx: &mut Context<Self>,
+    ) -> FollowerCounters {
+        self.counters
+    }
+}
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -1,5 +1,21 @@
 //! The client of the platform's append-only log.
 //!
-//! [`service`] is the one trait behind which the platform's wire format stays.
+//! [`service`] is the one trait behind which the platform's wire format stays,
+//! and [`http`] the one place that knows it. [`follower`] reads the log, folds
+//! it and publishes the state; [`writer`] appends this incarnation's records
+//! and answers once the follower has folded them.
+//!
+//! The log may be down, slow, or lose an answer after the write took effect.
+//! The writer therefore appends a batch again under the same sequence until it
+//! sees it folded: the fold takes the first copy and ignores the others. What
+//! it cannot settle in time it reports as unknown, never as refused.
 
+mod attempt;
+pub mod backoff;
+pub mod batch;
+pub mod follower;
+pub mod http;
+pub mod rate;
+mod reader;
 pub mod service;
+pub mod writer;
