transport, routing, entry: carry a caller's request to the owner's process

Connections are multiplexed and interleaved; a silent one is replaced and what is outstanding is asked again by number. The entry repeats an order only after a proven "not run" or when it is idempotent. Not wired to a process yet.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -1,1 +1,3 @@
 //! Priority classes, queues and limits at the owner.
+
+pub mod load;
--- /dev/null
+++ b/src/entry/answer.rs
@@ -0,0 +1,92 @@
+//! Tells a caller the outcome in status, headers and body.
+
+use bytes::Bytes;
+use serde::Serialize;
+use warp::http::HeaderName;
+use warp::http::HeaderValue;
+use warp::http::Response;
+use warp::http::StatusCode;
+use warp::http::header;
+
+use super::headers;
+use crate::base::error::RequestOutcome;
+use crate::delivery::message::OrderFailure;
+use crate::delivery::message::OrderResult;
+use crate::delivery::message::UpstreamAnswer;
+
+/// A caller's answer.
+pub type CallerResponse = Response<warp::hyper::body::Bytes>;
+
+/// A problem document, RFC 9457.
+#[derive(Debug, Serialize)]
+struct ProblemDocument<'a> {
+    r#type: &'a str,
+    title: &'a str,
+    status: u16,
+    detail: &'a str,
+    outcome: &'a str,
+}
+
+/// Turns an order's result into the caller's answer.
+pub fn respond(result: OrderResult, owner: Option<&str>) -> CallerResponse {
+    let mut response = match result {
+        Ok(answer) => answered(answer),
+        Err(failure) => failed(&failure),
+    };
+    if let Some(value) = owner.and_then(|owner| HeaderValue::from_str(owner).ok()) {
+        response.headers_mut().insert(headers::OWNER, value);
+    }
+    response
+}
+
+fn answered(answer: UpstreamAnswer) -> CallerResponse {
+    let mut response = Response::new(answer.body);
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for (name, value) in &answer.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    set_outcome(&mut response, RequestOutcome::Answered);
+    response
+        .headers_mut()
+        .insert(headers::EPOCH, answer.epoch.into());
+    response
+}
+
+fn failed(failure: &OrderFailure) -> CallerResponse {
+    let answer = failure.kind.answer();
+    let document = ProblemDocument {
+        r#type: answer.slug,
+        title: answer.remedy,
+        status: answer.status,
+        detail: &failure.detail,
+        outcome: answer.outcome.as_str(),
+    };
+    let body = serde_json::to_vec(&document).unwrap_or_default();
+    let mut response = Response::new(Bytes::from(body));
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let problem = HeaderValue::from_static("application/problem+json");
+    response.headers_mut().insert(header::CONTENT_TYPE, problem);
+    set_outcome(&mut response, answer.outcome);
+    response
+        .headers_mut()
+        .insert(headers::ERROR, HeaderValue::from_static(answer.slug));
+    if answer.retry_hint {
+        let seconds = failure
+            .retry_after
+            .map_or(1, |after| after.as_secs().max(1));
+        response
+            .headers_mut()
+            .insert(headers::RETRY_AFTER, seconds.into());
+    }
+    response
+}
+
+fn set_outcome(response: &mut CallerResponse, outcome: RequestOutcome) {
+    let value = HeaderValue::from_static(outcome.as_str());
+    response.headers_mut().insert(headers::OUTCOME, value);
+}
--- /dev/null
+++ b/src/entry/request.rs
@@ -0,0 +1,181 @@
+//! Checks a caller's headers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use warp::http::HeaderMap;
+use warp::http::HeaderName;
+use warp::http::header;
+
+use super::headers;
+use crate::base::error::ErrorKind;
+use crate::base::ids::ClassName;
+use crate::base::ids::IdempotencyKey;
+use crate::base::ids::ServiceName;
+use crate::delivery::message::HeaderPair;
+use crate::delivery::message::OrderFailure;
+use crate::routing::table::RouteTable;
+
+/// Longest key, idempotency key or caller's name, in bytes.
+pub const MAX_TEXT_BYTES: usize = 512;
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::HOST,
+    header::CONTENT_LENGTH,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::TE,
+    header::TRAILER,
+];
+
+/// Prefix of this program's own headers.
+const OWN_PREFIX: &str = "winch-";
+
+/// What a caller's headers say.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    /// The service.
+    pub service: ServiceName,
+    /// The key.
+    pub key: Box<str>,
+    /// The priority class.
+    pub class: ClassName,
+    /// Whether the class is idempotent.
+    pub idempotent: bool,
+    /// How long the caller waits; none for work that may wait.
+    pub deadline: Option<Duration>,
+    /// The idempotency key.
+    pub idempotency_key: Option<IdempotencyKey>,
+    /// Which attempt this is.
+    pub attempt: u16,
+    /// Identifies the caller.
+    pub caller: Box<str>,
+    /// Largest body that the service takes, in bytes.
+    pub max_body: usize,
+}
+
+/// Checks the headers against the declarations.
+///
+/// Every failure is "not run" and names the header.
+pub fn check_headers(
+    headers: &HeaderMap,
+    table: &RouteTable,
+    max_deadline: Duration,
+) -> Result<RequestHead, OrderFailure> {
+    let service_name = required(headers, headers::SERVICE)?;
+    let service = table.services.get(service_name).ok_or_else(|| {
+        OrderFailure::new(
+            ErrorKind::UnknownService,
+            format!(
+                "{}: no service \"{service_name}\" is declared",
+                headers::SERVICE
+            ),
+        )
+    })?;
+    let class_name = required(headers, headers::CLASS)?;
+    let class = table.classes.get(class_name).ok_or_else(|| {
+        OrderFailure::new(
+            ErrorKind::UnknownClass,
+            format!(
+                "{}: no priority class \"{class_name}\" is declared",
+                headers::CLASS
+            ),
+        )
+    })?;
+    let idempotency_key = text(headers, headers::IDEMPOTENCY_KEY)?.map(Box::from);
+    if !class.idempotent && idempotency_key.is_none() {
+        return Err(missing(headers::IDEMPOTENCY_KEY));
+    }
+    Ok(RequestHead {
+        service: service_name.into(),
+        key: required(headers, headers::KEY)?.into(),
+        class: class_name.into(),
+        idempotent: class.idempotent,
+        deadline: deadline(headers, class.deadline, max_deadline)?,
+        idempotency_key,
+        attempt: number(headers, headers::ATTEMPT)?.unwrap_or(1),
+        caller: text(headers, headers::CALLER)?.unwrap_or_default().into(),
+        max_body: service.declaration.max_body as usize,
+    })
+}
+
+/// Returns the headers that are passed on to the upstream.
+pub fn passed_on(headers: &HeaderMap) -> Vec<HeaderPair> {
+    headers
+        .iter()
+        .filter(|(name, _value)| is_passed_on(name))
+        .map(|(name, value)| {
+            (
+                name.as_str().into(),
+                Bytes::copy_from_slice(value.as_bytes()),
+            )
+        })
+        .collect()
+}
+
+fn is_passed_on(name: &HeaderName) -> bool {
+    let own = name.as_str().starts_with(OWN_PREFIX) || name == headers::IDEMPOTENCY_KEY;
+    !own && !HOP_HEADERS.contains(name)
+}
+
+fn required<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, OrderFailure> {
+    text(headers, name)?.ok_or_else(|| missing(name))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, OrderFailure> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(malformed(name, "is given twice"));
+    }
+    let value = value
+        .to_str()
+        .map_err(|_not_text| malformed(name, "holds other than visible characters"))?;
+    if value.is_empty() || value.len() > MAX_TEXT_BYTES {
+        return Err(malformed(name, "is empty or too long"));
+    }
+    Ok(Some(value))
+}
+
+fn number(headers: &HeaderMap, name: &'static str) -> Result<Option<u16>, OrderFailure> {
+    let Some(value) = text(headers, name)? else {
+        return Ok(None);
+    };
+    match value.parse() {
+        Ok(number) if number > 0 => Ok(Some(number)),
+        _ => Err(malformed(name, "is no number from 1 to 65535")),
+    }
+}
+
+fn deadline(
+    headers: &HeaderMap,
+    default: Duration,
+    longest: Duration,
+) -> Result<Option<Duration>, OrderFailure> {
+    let Some(value) = text(headers, headers::DEADLINE)? else {
+        return Ok((!default.is_zero()).then_some(default));
+    };
+    let milliseconds = value.parse().unwrap_or(0);
+    let wanted = Duration::from_millis(milliseconds);
+    if wanted.is_zero() || wanted > longest {
+        let allowed = format!(
+            "{}: allowed are 1 to {} ms",
+            headers::DEADLINE,
+            longest.as_millis()
+        );
+        return Err(OrderFailure::new(ErrorKind::BadDeadline, allowed));
+    }
+    Ok(Some(wanted))
+}
+
+fn missing(name: &str) -> OrderFailure {
+    OrderFailure::new(ErrorKind::MissingHeader, format!("{name}: is required"))
+}
+
+fn malformed(name: &str, fault: &str) -> OrderFailure {
+    OrderFailure::new(ErrorKind::MalformedHeader, format!("{name}: {fault}"))
+}
--- /dev/null
+++ b/src/entry/server.rs
@@ -0,0 +1,266 @@
+//! Serves callers, with bounds on connections, headers and bodies.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use warp::Filter;
+use warp::http::HeaderMap;
+use warp::http::HeaderValue;
+use warp::http::Method;
+
+use super::answer::CallerResponse;
+use super::answer::respond;
+use super::dispatch::EntryOrder;
+use super::dispatch::OrderDispatcher;
+use super::headers;
+use super::request::RequestHead;
+use super::request::check_headers;
+use super::request::passed_on;
+use crate::base::error::ErrorKind;
+use crate::delivery::message::OrderFailure;
+use crate::delivery::message::OrderRequest;
+use crate::delivery::message::OrderResult;
+use crate::state::record::ChainKey;
+use crate::state::record::ChainSubject;
+use crate::transport::server::OrderHandler;
+
+/// Bounds on what callers may do.
+#[derive(Debug, Clone, Copy, bon::Builder)]
+pub struct EntryLimits {
+    /// Connections that are open at once.
+    pub connections: usize,
+    /// Longest deadline that a caller may ask for.
+    pub max_deadline: Duration,
+    /// Largest body, in bytes.
+    pub max_body: usize,
+    /// Time that a request's headers may take.
+    pub header_timeout: Duration,
+    /// Time that a request's body may take.
+    pub body_timeout: Duration,
+}
+
+/// Told of each request when it is answered.
+pub trait RequestObserver: Clone + Send + Sync + 'static {
+    /// Takes note of a request of a class, its result and its latency.
+    fn observe(&self, class: &str, result: &OrderResult, latency: Duration);
+}
+
+/// Serves callers.
+#[derive(Debug, Clone)]
+pub struct EntryServer<H, O> {
+    dispatcher: OrderDispatcher<H>,
+    limits: EntryLimits,
+    observer: O,
+}
+
+struct CallerRequest {
+    method: Method,
+    path: Box<str>,
+    headers: HeaderMap,
+}
+
+impl<H: OrderHandler, O: RequestObserver> EntryServer<H, O> {
+    /// Creates the server.
+    pub fn new(dispatcher: OrderDispatcher<H>, limits: EntryLimits, observer: O) -> Self {
+        Self {
+            dispatcher,
+            limits,
+            observer,
+        }
+    }
+
+    /// Accepts callers until `stop` fires, then finishes what runs.
+    pub async fn serve(self, listener: TcpListener, stop: CancellationToken) {
+        let permits = Arc::new(Semaphore::new(self.limits.connections));
+        let connections = TaskTracker::new();
+        loop {
+            let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+                break;
+            };
+            tokio::select! {
+                () = stop.cancelled() => break,
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, from)) => {
+                        connections.spawn(self.clone().converse(stream, from, permit, stop.clone()));
+                    }
+                    Err(error) => {
+                        log::warn!("entry: cannot accept: {error}");
+                        tokio::time::sleep(Duration::from_millis(10)).await;
+                    }
+                },
+            }
+        }
+        drop(listener);
+        connections.close();
+        connections.wait().await;
+    }
+
+    async fn converse(
+        self,
+        stream: TcpStream,
+        from: SocketAddr,
+        _permit: OwnedSemaphorePermit,
+        stop: CancellationToken,
+    ) {
+        drop(stream.set_nodelay(true));
+        let header_timeout = self.limits.header_timeout;
+        let service = TowerToHyperService::new(warp::service(self.routes(from)));
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(header_timeout)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        let ended = tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = stop.cancelled() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(error) = ended {
+            log::debug!("entry: closed the connection from {from}: {error}");
+        }
+    }
+
+    fn routes(
+        self,
+        from: SocketAddr,
+    ) -> impl Filter<Extract = (CallerResponse,), Error = warp::Rejection> + Clone + Send + Sync + 'static
+    {
+        let query = warp::query::raw()
+            .map(|query| format!("?{query}"))
+            .or(warp::any().map(String::new))
+            .unify();
+        warp::method()
+            .and(warp::path::full())
+            .and(query)
+            .and(warp::header::headers_cloned())
+            .and(warp::body::stream())
+            .then(
+                move |method,
+                      path: warp::path::FullPath,
+                      query: String,
+                      mut headers: HeaderMap,
+                      body| {
+                    let server = self.clone();
+                    name_caller(&mut headers, from);
+                    let request = CallerRequest {
+                        method,
+                        path: format!("{}{query}", path.as_str()).into(),
+                        headers,
+                    };
+                    async move { server.answer(request, body).await }
+                },
+            )
+    }
+
+    async fn answer<B: Buf>(
+        &self,
+        request: CallerRequest,
+        body: impl Stream<Item = Result<B, warp::Error>> + Send,
+    ) -> CallerResponse {
+        let started = tokio::time::Instant::now();
+        let table = self.dispatcher.routes().load();
+        let head = match check_headers(&request.headers, &table, self.limits.max_deadline) {
+            Ok(head) => head,
+            Err(failure) => return self.refuse("", failure, started.elapsed()),
+        };
+        drop(table);
+        let limit = self.limits.max_body.min(head.max_body);
+        let body = match timeout(self.limits.body_timeout, collect(body, limit)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(failure)) => return self.refuse(&head.class, failure, started.elapsed()),
+            Err(_elapsed) => {
+                let failure =
+                    OrderFailure::new(ErrorKind::BodyTimeout, "the body did not arrive in time");
+                return self.refuse(&head.class, failure, started.elapsed());
+            }
+        };
+        let class = head.class.clone();
+        let dispatched = self
+            .dispatcher
+            .dispatch(entry_order(head, request, body))
+            .await;
+        self.observer
+            .observe(&class, &dispatched.result, started.elapsed());
+        respond(dispatched.result, dispatched.owner.as_deref())
+    }
+
+    fn refuse(&self, class: &str, failure: OrderFailure, latency: Duration) -> CallerResponse {
+        let result = Err(failure);
+        self.observer.observe(class, &result, latency);
+        respond(result, None)
+    }
+}
+
+fn name_caller(headers: &mut HeaderMap, from: SocketAddr) {
+    if !headers.contains_key(headers::CALLER)
+        && let Ok(value) = HeaderValue::from_str(&from.ip().to_string())
+    {
+        headers.insert(headers::CALLER, value);
+    }
+}
+
+fn entry_order(head: RequestHead, request: CallerRequest, body: Bytes) -> EntryOrder {
+    let order = OrderRequest {
+        chain: ChainKey {
+            service: head.service,
+            subject: ChainSubject::Any,
+        },
+        key: head.key,
+        class: head.class,
+        remaining: head.deadline,
+        idempotency_key: head.idempotency_key,
+        attempt: head.attempt,
+        caller: head.caller,
+        method: request.method.as_str().into(),
+        path: request.path,
+        headers: passed_on(&request.headers),
+        body,
+    };
+    EntryOrder {
+        order,
+        idempotent: head.idempotent,
+    }
+}
+
+async fn collect<B: Buf>(
+    body: impl Stream<Item = Result<B, warp::Error>>,
+    limit: usize,
+) -> Result<Bytes, OrderFailure> {
+    let mut collected = BytesMut::new();
+    let mut body = std::pin::pin!(body);
+    while let Some(part) = body.next().await {
+        let mut part = part.map_err(|error| {
+            OrderFailure::new(
+                ErrorKind::BodyTimeout,
+                format!("the body broke off: {error}"),
+            )
+        })?;
+        if collected.len() + part.remaining() > limit {
+            return Err(OrderFailure::new(
+                ErrorKind::BodyTooLarge,
+                format!("the body exceeds {limit} bytes"),
+            ));
+        }
+        collected.extend_from_slice(&part.copy_to_bytes(part.remaining()));
+    }
+    Ok(collected.freeze())
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,1 +1,8 @@
 //! From a request's key to the process that owns it.
+//!
+//! [`table`] is derived from the folded state and from what this process knows
+//! besides: certificates and resignations that are not folded yet. The request
+//! path reads it without a lock; whoever waits for a change subscribes.
+
+pub mod table;
+pub mod target;
--- /dev/null
+++ b/src/transport/connection.rs
@@ -0,0 +1,107 @@
+//! One TCP connection: framed chunks in, interleaved chunks out.
+
+use std::io;
+
+use bytes::Bytes;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio_util::codec::FramedRead;
+use tokio_util::codec::FramedWrite;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use super::frame::CHUNK_BYTES;
+use super::frame::ChunkQueue;
+use super::frame::MessageAssembler;
+use super::frame::PeerMessage;
+
+/// Encoded messages that may wait for the writer.
+const WRITER_QUEUE: usize = 1024;
+
+/// Messages that the writer interleaves before it stops taking more.
+const MAX_INTERLEAVED: usize = 256;
+
+/// Space that a chunk's header takes at most, in bytes.
+const CHUNK_OVERHEAD: usize = 64;
+
+/// The receiving half of a connection.
+#[derive(Debug)]
+pub struct ConnectionReader {
+    frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    assembler: MessageAssembler,
+}
+
+impl ConnectionReader {
+    /// Returns the next message, or none when the connection is closed.
+    ///
+    /// Can be dropped and called again without losing anything.
+    pub async fn next(&mut self) -> io::Result<Option<PeerMessage>> {
+        while let Some(frame) = self.frames.next().await {
+            let message = self.assembler.accept(&frame?).map_err(|error| {
+                io::Error::new(io::ErrorKind::InvalidData, format!("{error:?}"))
+            })?;
+            if message.is_some() {
+                return Ok(message);
+            }
+        }
+        Ok(None)
+    }
+}
+
+/// The sending half of a connection: a bounded queue to its writer task.
+pub type ConnectionSender = mpsc::Sender<Bytes>;
+
+/// Splits a stream and starts its writer, which ends with the last sender.
+pub fn open(stream: TcpStream) -> io::Result<(ConnectionReader, ConnectionSender)> {
+    stream.set_nodelay(true)?;
+    let (read, write) = stream.into_split();
+    let reader = ConnectionReader {
+        frames: FramedRead::new(read, codec()),
+        assembler: MessageAssembler::default(),
+    };
+    let (sender, queue) = mpsc::channel(WRITER_QUEUE);
+    tokio::spawn(write_chunks(FramedWrite::new(write, codec()), queue));
+    Ok((reader, sender))
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(CHUNK_BYTES + CHUNK_OVERHEAD)
+        .new_codec()
+}
+
+async fn write_chunks(
+    mut frames: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    mut queue: mpsc::Receiver<Bytes>,
+) {
+    let mut chunks = ChunkQueue::default();
+    while let Some(message) = queue.recv().await {
+        chunks.push(message);
+        if write_until_empty(&mut frames, &mut chunks, &mut queue)
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+async fn write_until_empty(
+    frames: &mut FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    chunks: &mut ChunkQueue,
+    queue: &mut mpsc::Receiver<Bytes>,
+) -> io::Result<()> {
+    loop {
+        while chunks.len() < MAX_INTERLEAVED {
+            let Ok(message) = queue.try_recv() else { break };
+            chunks.push(message);
+        }
+        match chunks.next_chunk() {
+            Some(chunk) => frames.feed(chunk).await?,
+            None => return SinkExt::<Bytes>::flush(frames).await,
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/link.rs
@@ -0,0 +1,489 @@
+//! The entry's side of connections: one link to each owner.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use super::connection;
+use super::connection::ConnectionReader;
+use super::connection::ConnectionSender;
+use super::frame::PROTOCOL_VERSION;
+use super::frame::PeerMessage;
+use super::frame::encode_message;
+use crate::admission::load::LoadReport;
+use crate::base::collections::FastMap;
+use crate::base::error::ErrorKind;
+use crate::base::ids::Incarnation;
+use crate::base::ids::RequestId;
+use crate::base::timer::TickSubscription;
+use crate::base::timer::TimerService;
+use crate::base::timer::TimerTick;
+use crate::delivery::message::OrderFailure;
+use crate::delivery::message::OrderRequest;
+use crate::delivery::message::OrderResult;
+
+/// Commands that may wait for a link.
+const COMMAND_QUEUE: usize = 1024;
+
+/// How often a link looks at its connection.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Silence after which a link that is in use asks for a sign of life.
+const PING_AFTER: Duration = Duration::from_millis(300);
+
+/// Silence after which a connection is replaced.
+const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+
+/// How long a link counts as in use after its last request.
+const USE_MEMORY: Duration = Duration::from_secs(10);
+
+/// How long a connection attempt may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A gap between ticks that shows that this process was paused.
+const PAUSE_LIMIT: Duration = Duration::from_millis(300);
+
+/// Numbers the requests of this incarnation.
+#[derive(Debug, Clone, Default)]
+pub struct RequestNumbers(Arc<AtomicU64>);
+
+impl RequestNumbers {
+    fn next(&self) -> RequestId {
+        self.0.fetch_add(1, Ordering::Relaxed) + 1
+    }
+}
+
+/// The owner's load, as its latest answer reported it.
+#[derive(Debug, Default)]
+pub struct ReportedLoad {
+    running: AtomicU16,
+    waiting: AtomicU32,
+    limit: AtomicU16,
+}
+
+impl ReportedLoad {
+    fn store(&self, load: LoadReport) {
+        self.running.store(load.running, Ordering::Relaxed);
+        self.waiting.store(load.waiting, Ordering::Relaxed);
+        self.limit.store(load.limit, Ordering::Relaxed);
+    }
+
+    /// Returns the latest report.
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            running: self.running.load(Ordering::Relaxed),
+            waiting: self.waiting.load(Ordering::Relaxed),
+            limit: self.limit.load(Ordering::Relaxed),
+        }
+    }
+}
+
+enum LinkCommand {
+    Call {
+        id: RequestId,
+        order: Box<OrderRequest>,
+        reply: oneshot::Sender<OrderResult>,
+    },
+    Cancel {
+        id: RequestId,
+    },
+}
+
+/// Tells the owner that nobody waits for the answer any more.
+struct CancelGuard<'a> {
+    commands: &'a mpsc::Sender<LinkCommand>,
+    id: RequestId,
+    armed: bool,
+}
+
+impl Drop for CancelGuard<'_> {
+    fn drop(&mut self) {
+        if self.armed {
+            // A full queue drops the cancellation; the owner's own deadline
+            // ends the request then.
+            drop(self.commands.try_send(LinkCommand::Cancel { id: self.id }));
+        }
+    }
+}
+
+/// A link to one owner. Cloning shares it; it ends with its last clone.
+#[derive(Debug, Clone)]
+pub struct PeerLink {
+    commands: mpsc::Sender<LinkCommand>,
+    numbers: RequestNumbers,
+    load: Arc<ReportedLoad>,
+}
+
+impl PeerLink {
+    /// Starts a link from one incarnation to another. It connects with the
+    /// first request.
+    pub fn start(
+        from: Incarnation,
+        to: Incarnation,
+        address: SocketAddr,
+        numbers: RequestNumbers,
+    ) -> Self {
+        let (sender, commands) = mpsc::channel(COMMAND_QUEUE);
+        let load = Arc::<ReportedLoad>::default();
+        let task = LinkTask {
+            from,
+            to,
+            address,
+            commands,
+            load: Arc::clone(&load),
+            pending: FastMap::default(),
+            last_used: Instant::now(),
+        };
+        tokio::spawn(task.run());
+        Self {
+            commands: sender,
+            numbers,
+            load,
+        }
+    }
+
+    /// Returns the owner's latest reported load.
+    pub fn load(&self) -> LoadReport {
+        self.load.load()
+    }
+
+    /// Sends a request and waits for its answer. Dropping the future cancels
+    /// the request.
+    ///
+    /// Fails with [`ErrorKind::OwnerUnreachable`] when the request was never
+    /// sent, and with [`ErrorKind::ConnectionLost`] when it was sent and the
+    /// owner has ended.
+    pub async fn call(&self, order: OrderRequest) -> OrderResult {
+        let id = self.numbers.next();
+        let (reply, answer) = oneshot::channel();
+        let command = LinkCommand::Call {
+            id,
+            order: Box::new(order),
+            reply,
+        };
+        if self.commands.send(command).await.is_err() {
+            return Err(unreachable());
+        }
+        let mut guard = CancelGuard {
+            commands: &self.commands,
+            id,
+            armed: true,
+        };
+        let result = answer.await.unwrap_or_else(|_ended| Err(lost()));
+        guard.armed = false;
+        result
+    }
+}
+
+fn unreachable() -> OrderFailure {
+    OrderFailure::new(ErrorKind::OwnerUnreachable, "the owner cannot be reached")
+}
+
+fn lost() -> OrderFailure {
+    OrderFailure::new(
+        ErrorKind::ConnectionLost,
+        "the owner was lost after the request was sent",
+    )
+}
+
+#[derive(Debug)]
+struct PendingCall {
+    message: Bytes,
+    reply: oneshot::Sender<OrderResult>,
+}
+
+/// How a connection attempt ended.
+enum ConnectResult {
+    Connected(ActiveConnection),
+    /// The addressed incarnation has ended, or nothing listens.
+    Ended,
+    TimedOut,
+}
+
+/// Why a connection is no longer used.
+enum ConnectionEnd {
+    /// The link has no more users.
+    Unused,
+    /// The connection is closed or silent.
+    Broken,
+}
+
+struct ActiveConnection {
+    reader: ConnectionReader,
+    sender: ConnectionSender,
+    last_heard: Instant,
+}
+
+struct LinkTask {
+    from: Incarnation,
+    to: Incarnation,
+    address: SocketAddr,
+    commands: mpsc::Receiver<LinkCommand>,
+    load: Arc<ReportedLoad>,
+    /// What was sent and is not answered.
+    pending: FastMap<RequestId, PendingCall>,
+    last_used: Instant,
+}
+
+impl LinkTask {
+    async fn run(mut self) {
+        while let Some(command) = self.commands.recv().await {
+            let Some(connection) = self.connect_for(command).await else {
+                continue;
+            };
+            if self.use_connections(connection).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Connects for a first request. A request that cannot be sent fails as
+    /// not run.
+    async fn connect_for(&mut self, command: LinkCommand) -> Option<ActiveConnection> {
+        let LinkCommand::Call { id, order, reply } = command else {
+            return None;
+        };
+        match self.connect().await {
+            ConnectResult::Connected(connection) => {
+                self.send_call(&connection, id, order, reply).await;
+                Some(connection)
+            }
+            ConnectResult::Ended | ConnectResult::TimedOut => {
+                // The receiver may have gone; nobody else waits.
+                drop(reply.send(Err(unreachable())));
+                None
+            }
+        }
+    }
+
+    /// Uses a connection and its replacements until nothing is outstanding on
+    /// a broken one. Fails when the link has no more users.
+    async fn use_connections(&mut self, mut connection: ActiveConnection) -> Result<(), ()> {
+        loop {
+            match self.use_connection(&mut connection).await {
+                ConnectionEnd::Unused => return Err(()),
+                ConnectionEnd::Broken => {}
+            }
+            drop(connection);
+            let Some(replacement) = self.replace().await else {
+                return Ok(());
+            };
+            connection = replacement;
+        }
+    }
+
+    /// Connects again and asks again for what is outstanding. Gives up, with
+    /// everything outstanding answered as lost, when the owner has ended.
+    async fn replace(&mut self) -> Option<ActiveConnection> {
+        loop {
+            self.pending.retain(|_id, call| !call.reply.is_closed());
+            if self.pending.is_empty() {
+                return None;
+            }
+            match self.connect().await {
+                ConnectResult::Connected(connection) => {
+                    log::info!(
+                        "transport: replaced the connection to {:x}, asking again for {}",
+                        self.to,
+                        self.pending.len()
+                    );
+                    self.ask_again(&connection).await;
+                    return Some(connection);
+                }
+                ConnectResult::Ended => {
+                    log::info!(
+                        "transport: {:x} has ended, {} are lost",
+                        self.to,
+                        self.pending.len()
+                    );
+                    self.lose_pending();
+                    return None;
+                }
+                ConnectResult::TimedOut => self.refuse_waiting(),
+            }
+        }
+    }
+
+    async fn ask_again(&self, connection: &ActiveConnection) {
+        for call in self.pending.values() {
+            drop(connection.sender.send(call.message.clone()).await);
+        }
+    }
+
+    fn lose_pending(&mut self) {
+        for (_id, call) in self.pending.drain() {
+            drop(call.reply.send(Err(lost())));
+        }
+    }
+
+    /// Answers what was not sent yet, so that its entry can look for another
+    /// owner.
+    fn refuse_waiting(&mut self) {
+        while let Ok(command) = self.commands.try_recv() {
+            if let LinkCommand::Call { reply, .. } = command {
+                drop(reply.send(Err(unreachable())));
+            }
+        }
+    }
+
+    async fn connect(&self) -> ConnectResult {
+        let attempt = timeout(CONNECT_TIMEOUT, self.handshake()).await;
+        match attempt {
+            Ok(Ok(Some(connection))) => ConnectResult::Connected(connection),
+            Ok(Ok(None)) => ConnectResult::Ended,
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                ConnectResult::Ended
+            }
+            Ok(Err(error)) => {
+                log::debug!("transport: cannot connect to {:x}: {error}", self.to);
+                tokio::time::sleep(CHECK_INTERVAL).await;
+                ConnectResult::TimedOut
+            }
+            Err(_elapsed) => ConnectResult::TimedOut,
+        }
+    }
+
+    async fn handshake(&self) -> std::io::Result<Option<ActiveConnection>> {
+        let stream = tokio::net::TcpStream::connect(self.address).await?;
+        let (mut reader, sender) = connection::open(stream)?;
+        let hello = PeerMessage::Hello {
+            version: PROTOCOL_VERSION,
+            from: self.from,
+            to: self.to,
+        };
+        drop(sender.send(encode_message(&hello)).await);
+        let welcome = reader.next().await?;
+        let expected =
+            matches!(welcome, Some(PeerMessage::Welcome { incarnation }) if incarnation == self.to);
+        if welcome.is_none() {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
+        Ok(expected.then(|| ActiveConnection {
+            reader,
+            sender,
+            last_heard: Instant::now(),
+        }))
+    }
+
+    async fn use_connection(&mut self, connection: &mut ActiveConnection) -> ConnectionEnd {
+        let mut ticks = TimerService.subscribe(CHECK_INTERVAL);
+        loop {
+            let end = self.step(connection, &mut ticks).await;
+            if let Some(end) = end {
+                return end;
+            }
+        }
+    }
+
+    async fn step(
+        &mut self,
+        connection: &mut ActiveConnection,
+        ticks: &mut TickSubscription,
+    ) -> Option<ConnectionEnd> {
+        let writable = connection.sender.capacity() > 0;
+        tokio::select! {
+            message = connection.reader.next() => match message {
+                Ok(Some(message)) => {
+                    connection.last_heard = Instant::now();
+                    self.take(message);
+                    None
+                }
+                Ok(None) | Err(_) => Some(ConnectionEnd::Broken),
+            },
+            command = self.commands.recv(), if writable => match command {
+                Some(command) => {
+                    self.execute(connection, command).await;
+                    None
+                }
+                None => Some(ConnectionEnd::Unused),
+            },
+            tick = ticks.next() => self.check(connection, tick),
+        }
+    }
+
+    fn take(&mut self, message: PeerMessage) {
+        if let PeerMessage::Answer { id, result, load } = message {
+            self.load.store(load);
+            // An answer that nobody waits for is late or crossed: dropped.
+            if let Some(call) = self.pending.remove(&id) {
+                drop(call.reply.send(*result));
+            }
+        }
+    }
+
+    async fn execute(&mut self, connection: &ActiveConnection, command: LinkCommand) {
+        match command {
+            LinkCommand::Call { id, order, reply } => {
+                self.send_call(connection, id, order, reply).await;
+            }
+            LinkCommand::Cancel { id } => {
+                if self.pending.remove(&id).is_some() {
+                    let cancel = encode_message(&PeerMessage::Cancel { id });
+                    drop(connection.sender.send(cancel).await);
+                }
+            }
+        }
+    }
+
+    async fn send_call(
+        &mut self,
+        connection: &ActiveConnection,
+        id: RequestId,
+        order: Box<OrderRequest>,
+        reply: oneshot::Sender<OrderResult>,
+    ) {
+        if reply.is_closed() {
+            return;
+        }
+        let message = encode_message(&PeerMessage::Request { id, order });
+        self.last_used = Instant::now();
+        // Counts as sent from here on, whatever becomes of the connection.
+        self.pending.insert(
+            id,
+            PendingCall {
+                message: message.clone(),
+                reply,
+            },
+        );
+        drop(connection.sender.send(message).await);
+    }
+
+    fn check(
+        &mut self,
+        connection: &mut ActiveConnection,
+        tick: TimerTick,
+    ) -> Option<ConnectionEnd> {
+        if tick.since_last > PAUSE_LIMIT {
+            connection.last_heard = tick.now;
+        }
+        let in_use =
+            !self.pending.is_empty() || tick.now.duration_since(self.last_used) < USE_MEMORY;
+        if !in_use {
+            connection.last_heard = tick.now;
+            return None;
+        }
+        let silence = tick.now.duration_since(connection.last_heard);
+        if silence > SILENCE_LIMIT {
+            log::info!("transport: the connection to {:x} is silent", self.to);
+            return Some(ConnectionEnd::Broken);
+        }
+        if silence > PING_AFTER {
+            drop(
+                connection
+                    .sender
+                    .try_send(encode_message(&PeerMessage::Ping)),
+            );
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/transport/server.rs
@@ -0,0 +1,212 @@
+//! The owner's side of connections: accepts entries and runs their requests.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use super::connection;
+use super::connection::ConnectionReader;
+use super::connection::ConnectionSender;
+use super::frame::PROTOCOL_VERSION;
+use super::frame::PeerMessage;
+use super::frame::encode_message;
+use super::inbound::InboundTable;
+use super::inbound::InboundVerdict;
+use crate::admission::load::LoadReport;
+use crate::base::collections::FastMap;
+use crate::base::ids::Incarnation;
+use crate::base::ids::RequestId;
+use crate::delivery::message::OrderRequest;
+use crate::delivery::message::OrderResult;
+
+/// How long a new connection may take to introduce itself.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long a connection may be silent before it is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Runs the requests that arrive from entries.
+pub trait OrderHandler: Clone + Send + Sync + 'static {
+    /// Runs a request. Cancelling never turns a started request into
+    /// "not run".
+    fn handle(
+        &self,
+        order: OrderRequest,
+        cancelled: CancellationToken,
+    ) -> impl Future<Output = OrderResult> + Send;
+
+    /// Returns the load that answers carry.
+    fn load(&self) -> LoadReport;
+}
+
+/// What is kept for one entry over its connections.
+#[derive(Debug, Default)]
+struct EntrySession {
+    inbound: Mutex<InboundTable>,
+    outlet: ArcSwapOption<ConnectionSender>,
+}
+
+impl EntrySession {
+    fn with_inbound<T>(&self, action: impl FnOnce(&mut InboundTable) -> T) -> T {
+        action(&mut self.inbound.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    async fn send(&self, message: Bytes) {
+        if let Some(outlet) = self.outlet.load_full() {
+            // A closed connection loses the message; the entry asks again.
+            drop(outlet.send(message).await);
+        }
+    }
+}
+
+/// Accepts connections of entries.
+#[derive(Debug, Clone)]
+pub struct PeerServer<H> {
+    incarnation: Incarnation,
+    handler: H,
+    sessions: Arc<Mutex<FastMap<Incarnation, Arc<EntrySession>>>>,
+}
+
+impl<H: OrderHandler> PeerServer<H> {
+    /// Creates the server of one incarnation.
+    pub fn new(incarnation: Incarnation, handler: H) -> Self {
+        Self {
+            incarnation,
+            handler,
+            sessions: Arc::default(),
+        }
+    }
+
+    /// Accepts connections until the stop token fires.
+    pub async fn serve(self, listener: TcpListener, stop: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                accepted = listener.accept() => self.accept(accepted, &stop).await,
+            }
+        }
+    }
+
+    async fn accept(
+        &self,
+        accepted: io::Result<(TcpStream, std::net::SocketAddr)>,
+        stop: &CancellationToken,
+    ) {
+        match accepted {
+            Ok((stream, from)) => {
+                let server = self.clone();
+                let stop = stop.clone();
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = stop.cancelled() => {}
+                        ended = server.converse(stream) => if let Err(error) = ended {
+                            log::debug!("transport: closed the connection from {from}: {error}");
+                        }
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("transport: cannot accept: {error}");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+
+    async fn converse(&self, stream: TcpStream) -> io::Result<()> {
+        let (mut reader, sender) = connection::open(stream)?;
+        let Some(from) = self.introduce(&mut reader, &sender).await? else {
+            return Ok(());
+        };
+        let session = self.session(from);
+        session.outlet.store(Some(Arc::new(sender.clone())));
+        loop {
+            let Ok(message) = timeout(IDLE_TIMEOUT, reader.next()).await else {
+                return Ok(());
+            };
+            match message? {
+                Some(message) => self.take(message, &session, &sender).await,
+                None => return Ok(()),
+            }
+        }
+    }
+
+    async fn introduce(
+        &self,
+        reader: &mut ConnectionReader,
+        sender: &ConnectionSender,
+    ) -> io::Result<Option<Incarnation>> {
+        let hello = timeout(HELLO_TIMEOUT, reader.next()).await??;
+        let Some(PeerMessage::Hello { version, from, to }) = hello else {
+            return Ok(None);
+        };
+        let welcome = PeerMessage::Welcome {
+            incarnation: self.incarnation,
+        };
+        drop(sender.send(encode_message(&welcome)).await);
+        let accepted = version == PROTOCOL_VERSION && to == self.incarnation;
+        if !accepted {
+            log::info!("transport: refused {from:x}, which asked for {to:x} in version {version}");
+        }
+        Ok(accepted.then_some(from))
+    }
+
+    fn session(&self, entry: Incarnation) -> Arc<EntrySession> {
+        let mut sessions = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(sessions.entry(entry).or_default())
+    }
+
+    /// Forgets the sessions of entries that have ended.
+    pub fn retain_entries(&self, is_live: impl Fn(Incarnation) -> bool) {
+        let mut sessions = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
+        sessions.retain(|entry, _session| is_live(*entry));
+    }
+
+    async fn take(
+        &self,
+        message: PeerMessage,
+        session: &Arc<EntrySession>,
+        sender: &ConnectionSender,
+    ) {
+        match message {
+            PeerMessage::Request { id, order } => self.arrive(id, *order, session).await,
+            PeerMessage::Cancel { id } => session.with_inbound(|inbound| inbound.cancel(id)),
+            PeerMessage::Ping => drop(sender.send(encode_message(&PeerMessage::Pong)).await),
+            PeerMessage::Hello { .. }
+            | PeerMessage::Welcome { .. }
+            | PeerMessage::Answer { .. }
+            | PeerMessage::Pong => {}
+        }
+    }
+
+    async fn arrive(&self, id: RequestId, order: OrderRequest, session: &Arc<EntrySession>) {
+        match session.with_inbound(|inbound| inbound.arrive(id)) {
+            InboundVerdict::Running => {}
+            InboundVerdict::Answered(answer) => session.send(answer).await,
+            InboundVerdict::Run(cancelled) => {
+                let handler = self.handler.clone();
+                let session = Arc::clone(session);
+                tokio::spawn(async move {
+                    let result = handler.handle(order, cancelled).await;
+                    let answer = encode_message(&PeerMessage::Answer {
+                        id,
+                        result: Box::new(result),
+                        load: handler.load(),
+                    });
+                    session
+                        .with_inbound(|inbound| inbound.answer(id, answer.clone(), Instant::now()));
+                    session.send(answer).await;
+                });
+            }
+        }
+    }
+}
