--- /dev/null
+++ b/src/planner/placement.rs
@@ -0,0 +1,144 @@
+//! Ranks members for a chain.
+
+use crate::base::collections::FastSet;
+use crate::base::hash::hash_key;
+use crate::base::hash::pair_score;
+use crate::base::ids::DomainName;
+use crate::base::ids::Incarnation;
+use crate::declarations::Declaration;
+use crate::declarations::RuleDeclaration;
+use crate::state::folded::FoldedState;
+use crate::state::folded::MemberState;
+use crate::state::record::ChainKey;
+use crate::state::record::ChainSubject;
+
+/// Distinguishes the ranking of successors from that of owners.
+const SUCCESSOR_SEED: u64 = 0x5cc3_5501;
+
+/// A member that may hold chains of one service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlacementCandidate {
+    /// The member.
+    pub incarnation: Incarnation,
+    /// Hash of its node's name, constant over restarts.
+    pub node: u64,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its share of the service's capacity, by slots.
+    pub weight: f64,
+}
+
+/// Returns the members that may hold chains of a service.
+///
+/// Draining members, members known to have ended, members without witnesses
+/// and members that a rule excludes are left out.
+pub fn candidates(
+    state: &FoldedState,
+    service: &str,
+    ended: &FastSet<Incarnation>,
+) -> Vec<PlacementCandidate> {
+    let rules = rules_of(state, service);
+    let eligible = state
+        .members
+        .values()
+        .filter(|member| !member.draining && member.witnesses.version > 0)
+        .filter(|member| member.info.upstream.service.as_ref() == service)
+        .filter(|member| !ended.contains(&member.info.incarnation))
+        .filter(|member| rules.iter().all(|rule| allows(rule, member)));
+    eligible.map(candidate).collect()
+}
+
+fn rules_of<'a>(state: &'a FoldedState, service: &str) -> Vec<&'a RuleDeclaration> {
+    let declarations = state
+        .objects
+        .values()
+        .filter_map(|object| object.declaration.as_ref());
+    declarations
+        .filter_map(|declaration| match declaration {
+            Declaration::OwnershipRule(rule) if rule.service.as_ref() == service => Some(rule),
+            _ => None,
+        })
+        .collect()
+}
+
+fn allows(rule: &RuleDeclaration, member: &MemberState) -> bool {
+    let domain = rule.domains.is_empty() || rule.domains.contains(&member.info.domain);
+    let region = rule.regions.is_empty() || rule.regions.contains(&member.info.region);
+    domain && region
+}
+
+fn candidate(member: &MemberState) -> PlacementCandidate {
+    PlacementCandidate {
+        incarnation: member.info.incarnation,
+        node: hash_key(member.info.node.as_bytes()),
+        domain: member.info.domain.clone(),
+        weight: f64::from(member.info.upstream.slots.max(1)),
+    }
+}
+
+/// Returns a chain's hash, the same on every process.
+pub fn chain_hash(chain: &ChainKey) -> u64 {
+    let service = hash_key(chain.service.as_bytes());
+    match chain.subject {
+        ChainSubject::Slice(slice) => pair_score(u64::from(slice), service),
+        ChainSubject::Key(key) => pair_score(key, service),
+        ChainSubject::Any => service,
+    }
+}
+
+/// Returns a candidate's weighted rendezvous score for a chain: the greatest
+/// score among candidates owns it.
+pub fn owner_score(chain: u64, candidate: &PlacementCandidate) -> f64 {
+    weighted(pair_score(chain, candidate.node), candidate.weight)
+}
+
+/// Maps a uniform hash to a score whose maximum falls to each candidate in
+/// proportion to its weight.
+fn weighted(hash: u64, weight: f64) -> f64 {
+    let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -weight / uniform.ln()
+}
+
+/// Chooses successors for a chain, in other failure domains than those of the
+/// present holders as far as there are any.
+pub fn choose_successors(
+    chain: u64,
+    candidates: &[PlacementCandidate],
+    holders: &[Incarnation],
+    count: usize,
+) -> Vec<Incarnation> {
+    let mut chosen: Vec<&PlacementCandidate> = candidates
+        .iter()
+        .filter(|candidate| holders.contains(&candidate.incarnation))
+        .collect();
+    let mut added = Vec::new();
+    while added.len() < count {
+        let Some(next) = best_successor(chain, candidates, &chosen) else {
+            break;
+        };
+        chosen.push(next);
+        added.push(next.incarnation);
+    }
+    added
+}
+
+fn best_successor<'a>(
+    chain: u64,
+    candidates: &'a [PlacementCandidate],
+    chosen: &[&PlacementCandidate],
+) -> Option<&'a PlacementCandidate> {
+    candidates
+        .iter()
+        .filter(|candidate| {
+            chosen
+                .iter()
+                .all(|other| other.incarnation != candidate.incarnation)
+        })
+        .max_by_key(|candidate| {
+            let new_domain = chosen.iter().all(|other| other.domain != candidate.domain);
+            (
+                new_domain,
+                pair_score(chain ^ SUCCESSOR_SEED, candidate.node),
+            )
+        })
+}
--- /dev/null
+++ b/src/planner/plan.rs
@@ -0,0 +1,234 @@
+//! From the folded state to the records that a planner appends.
+
+use std::collections::BTreeMap;
+
+use super::balance::ChainOwnership;
+use super::balance::balance;
+use super::placement::PlacementCandidate;
+use super::placement::candidates;
+use super::placement::chain_hash;
+use super::placement::choose_successors;
+use super::witnesses::witness_changes;
+use crate::base::collections::FastSet;
+use crate::base::ids::Epoch;
+use crate::base::ids::Incarnation;
+use crate::base::ids::Term;
+use crate::declarations::Declaration;
+use crate::declarations::ServiceDeclaration;
+use crate::state::folded::FoldedState;
+use crate::state::folded::HolderChain;
+use crate::state::record::ChainAppend;
+use crate::state::record::ChainKey;
+use crate::state::record::ChainSubject;
+use crate::state::record::LogRecord;
+
+/// Successors that a chain has behind its owner.
+pub const SUCCESSOR_COUNT: usize = 2;
+
+/// Appends in one record at most.
+const APPENDS_PER_RECORD: usize = 512;
+
+/// What a plan depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct PlanInputs<'a> {
+    /// The folded state.
+    pub state: &'a FoldedState,
+    /// Incarnations known to have ended beyond what is folded.
+    pub ended: &'a FastSet<Incarnation>,
+    /// The planner's term.
+    pub term: Term,
+    /// Planned moves that may be under way at once.
+    pub move_budget: usize,
+}
+
+/// Returns the records that bring the fleet closer to its bounds; none when
+/// nothing has to change.
+pub fn plan(inputs: PlanInputs<'_>) -> Vec<LogRecord> {
+    let mut records = plan_witnesses(inputs);
+    let mut appends = Vec::new();
+    for object in inputs.state.objects.values() {
+        if let Some(Declaration::Service(service)) = &object.declaration {
+            appends.extend(plan_service(inputs, service));
+        }
+    }
+    for part in appends.chunks(APPENDS_PER_RECORD) {
+        records.push(LogRecord::Assign {
+            term: inputs.term,
+            appends: part.to_vec(),
+        });
+    }
+    records
+}
+
+fn plan_witnesses(inputs: PlanInputs<'_>) -> Vec<LogRecord> {
+    let changes = witness_changes(inputs.state, inputs.ended);
+    changes
+        .into_iter()
+        .map(|change| LogRecord::Witnesses {
+            term: inputs.term,
+            member: change.member,
+            version: change.version,
+            witnesses: change.witnesses,
+        })
+        .collect()
+}
+
+/// A chain as the planner sees it.
+struct PlannedChain<'a> {
+    key: ChainKey,
+    hash: u64,
+    chain: Option<&'a HolderChain>,
+    /// Holders that may still serve, with their epochs, in order.
+    active: Vec<(Epoch, Incarnation)>,
+}
+
+impl<'a> PlannedChain<'a> {
+    fn new(inputs: PlanInputs<'a>, key: ChainKey) -> Self {
+        let chain = inputs.state.chains.get(&key);
+        Self {
+            hash: chain_hash(&key),
+            active: chain
+                .map(|chain| active_positions(inputs, chain))
+                .unwrap_or_default(),
+            key,
+            chain,
+        }
+    }
+
+    /// Returns who owns the chain once a move that is under way has ended.
+    fn intended(&self) -> Option<(Epoch, Incarnation)> {
+        let target = self.chain.map_or(0, |chain| chain.target);
+        let moved = self.active.iter().find(|(epoch, _holder)| *epoch >= target);
+        moved.or(self.active.first()).copied()
+    }
+
+    /// Tells whether a planned move is under way.
+    fn is_moving(&self) -> bool {
+        let first = self.active.first().copied();
+        first.is_some() && first != self.intended()
+    }
+
+    fn tail(&self) -> Epoch {
+        self.chain.map_or(0, HolderChain::tail)
+    }
+
+    fn append(&self, holders: Vec<Incarnation>, supersedes: bool) -> Option<ChainAppend> {
+        (!holders.is_empty()).then(|| ChainAppend {
+            chain: self.key.clone(),
+            at: self.tail(),
+            holders,
+            supersedes,
+        })
+    }
+}
+
+fn active_positions(inputs: PlanInputs<'_>, chain: &HolderChain) -> Vec<(Epoch, Incarnation)> {
+    let positions = (chain.base..).zip(&chain.entries);
+    positions
+        .filter(|(_epoch, entry)| !entry.resigned)
+        .filter(|(_epoch, entry)| inputs.state.members.contains_key(&entry.holder))
+        .filter(|(_epoch, entry)| !inputs.ended.contains(&entry.holder))
+        .map(|(epoch, entry)| (epoch, entry.holder))
+        .collect()
+}
+
+fn plan_service(inputs: PlanInputs<'_>, service: &ServiceDeclaration) -> Vec<ChainAppend> {
+    let candidates = candidates(inputs.state, &service.name, inputs.ended);
+    if candidates.is_empty() {
+        return Vec::new();
+    }
+    let chains: Vec<PlannedChain<'_>> = chain_keys(inputs, service)
+        .map(|key| PlannedChain::new(inputs, key))
+        .collect();
+    let owners = new_owners(&chains, &candidates, inputs.move_budget);
+    let appends = chains.iter().enumerate().filter_map(|(index, chain)| {
+        let owner = owners.get(&index).copied();
+        plan_chain(chain, owner, &candidates)
+    });
+    appends.collect()
+}
+
+fn chain_keys(
+    inputs: PlanInputs<'_>,
+    service: &ServiceDeclaration,
+) -> impl Iterator<Item = ChainKey> {
+    let name = service.name.clone();
+    let slices = (0..service.slices).map(ChainSubject::Slice);
+    let first_key = ChainKey {
+        service: service.name.clone(),
+        subject: ChainSubject::Key(0),
+    };
+    let keys = inputs
+        .state
+        .chains
+        .range(first_key..)
+        .map(|(key, _chain)| key)
+        .take_while(|key| key.service == service.name)
+        .map(|key| key.subject.clone());
+    slices
+        .chain(keys)
+        .map(move |subject| ChainKey {
+            service: name.clone(),
+            subject,
+        })
+        .collect::<Vec<_>>()
+        .into_iter()
+}
+
+/// Returns new owners by chain index.
+fn new_owners(
+    chains: &[PlannedChain<'_>],
+    candidates: &[PlacementCandidate],
+    move_budget: usize,
+) -> BTreeMap<usize, Incarnation> {
+    let under_way = chains.iter().filter(|chain| chain.is_moving()).count();
+    let ownerships: Vec<ChainOwnership> = chains
+        .iter()
+        .map(|chain| ChainOwnership {
+            hash: chain.hash,
+            owner: chain.intended().map(|(_epoch, holder)| holder),
+        })
+        .collect();
+    let changes = balance(
+        &ownerships,
+        candidates,
+        move_budget.saturating_sub(under_way),
+    );
+    changes
+        .into_iter()
+        .map(|change| (change.chain, change.owner))
+        .collect()
+}
+
+fn plan_chain(
+    chain: &PlannedChain<'_>,
+    owner: Option<Incarnation>,
+    candidates: &[PlacementCandidate],
+) -> Option<ChainAppend> {
+    match (owner, chain.intended()) {
+        (Some(owner), current) => {
+            let mut holders = vec![owner];
+            holders.extend(choose_successors(
+                chain.hash,
+                candidates,
+                &[owner],
+                SUCCESSOR_COUNT,
+            ));
+            chain.append(holders, current.is_some())
+        }
+        (None, Some((epoch, _holder))) => {
+            let holders: Vec<Incarnation> = chain
+                .active
+                .iter()
+                .filter(|(position, _holder)| *position >= epoch)
+                .map(|(_position, holder)| *holder)
+                .collect();
+            let missing = (SUCCESSOR_COUNT + 1).saturating_sub(holders.len());
+            chain.append(
+                choose_successors(chain.hash, candidates, &holders, missing),
+                false,
+            )
+        }
+        (None, None) => None,
+    }
+}
