--- a/src/declarations/mod.rs
+++ b/src/declarations/mod.rs
@@ -14,7 +14,8 @@
 use crate::base::ids::ServiceName;
 
 /// Kind of a declared object.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum ObjectKind {
     /// A [`ServiceDeclaration`].
     Service,
@@ -25,7 +26,8 @@
 }
 
 /// Names a declared object.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ObjectKey {
     /// The object's kind.
     pub kind: ObjectKind,
@@ -34,7 +36,8 @@
 }
 
 /// How a service's requests find their upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum DivisionMode {
     /// By the request's key.
     Key,
@@ -44,7 +47,8 @@
 }
 
 /// A service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ServiceDeclaration {
     /// The service's name.
     pub name: ServiceName,
@@ -57,7 +61,8 @@
 }
 
 /// A priority class.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClassDeclaration {
     /// The class's name.
     pub name: ClassName,
@@ -78,7 +83,8 @@
 }
 
 /// Where the keys of a service may be owned.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RuleDeclaration {
     /// The rule's name.
     pub name: Box<str>,
@@ -91,7 +97,8 @@
 }
 
 /// A declared object.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Declaration {
     /// A service.
     Service(ServiceDeclaration),
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -18,7 +18,8 @@
 pub type CallerResponse = Response<warp::hyper::body::Bytes>;
 
 /// A problem document, RFC 9457.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ProblemDocument<'a> {
     r#type: &'a str,
     title: &'a str,
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -42,7 +42,8 @@
 use crate::transport::server::OrderHandler;
 
 /// Bounds on what callers may do.
-#[derive(Debug, Clone, Copy, bon::Builder)]
+#[derive(Debug, Clone, Copy)]
+#[derive(bon::Builder)]
 pub struct EntryLimits {
     /// Connections that are open at once.
     pub connections: usize,
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -35,7 +35,7 @@
 }
 
 /// Load of a member, in the unit of
-/// [`LoadReport::pressure`](crate::admission::load::LoadReport::pressure).
+/// [`OwnerLoad::pressure`](crate::admission::load::OwnerLoad::pressure).
 pub trait LoadSource {
     /// Returns the member's load as far as it is known.
     fn pressure(&self, member: &MemberRoute) -> u64;
--- a/src/state/folded.rs
+++ b/src/state/folded.rs
@@ -19,7 +19,8 @@
 use crate::declarations::ObjectKey;
 
 /// One position of a chain.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChainEntry {
     /// Who holds the position.
     pub holder: Incarnation,
@@ -32,7 +33,8 @@
 /// Position `i` may serve while its holder's lease is live and every earlier
 /// position has resigned or its holder has ended. Positions that resigned or
 /// ended are trimmed from the front.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HolderChain {
     /// Epoch of the first entry.
     pub base: Epoch,
@@ -52,7 +54,8 @@
 }
 
 /// A member's witnesses.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WitnessSet {
     /// Version; 0 before the planner named any.
     pub version: Version,
@@ -68,7 +71,8 @@
 }
 
 /// A live member.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberState {
     /// What it said about itself.
     pub info: MemberInfo,
@@ -85,7 +89,8 @@
 }
 
 /// One version of a declared object.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ObjectState {
     /// The version.
     pub version: Version,
@@ -98,7 +103,8 @@
 }
 
 /// What became of an operator's change.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ChangeVerdict {
     /// Accepted, as this version.
     Accepted(Version),
@@ -117,7 +123,8 @@
 ///
 /// Bounded: the smallest incarnations, which started first, are remembered by
 /// a floor alone. An incarnation at or below the floor cannot join.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EndedSet {
     floor: Incarnation,
     recent: BTreeSet<Incarnation>,
@@ -149,7 +156,8 @@
 }
 
 /// The state folded from the log below `next`.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FoldedState {
     /// The next offset to read.
     pub next: Offset,
--- a/src/transport/frame.rs
+++ b/src/transport/frame.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::admission::load::LoadReport;
+use crate::admission::load::OwnerLoad;
 use crate::base::collections::FastMap;
 use crate::base::ids::Incarnation;
 use crate::base::ids::RequestId;
@@ -27,7 +27,8 @@
 const MAX_OPEN_STREAMS: usize = 4096;
 
 /// A message between an entry and an owner.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum PeerMessage {
     /// First message of the connecting side.
     Hello {
@@ -58,7 +59,7 @@
         /// The answer.
         result: Box<OrderResult>,
         /// The owner's load when it answered.
-        load: LoadReport,
+        load: OwnerLoad,
     },
     /// The caller of a request has gone or its deadline has passed.
     Cancel {
@@ -83,7 +84,8 @@
 }
 
 /// Part of a message.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct MessageChunk {
     stream: u64,
     last: bool,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! The integration test program: one module per feature.
 
+mod delivery;
 mod error_table;
 mod fold;
