settings, telemetry: read settings whole and keep metrics in typed groups

Settings are read from YAML with every fault listed at once: the reader takes each faulty value out of the tree and reads again.

Metrics follow one catalogue. The parts hold their counters directly, since a lookup by label takes a lock. Log lines go to a thread of their own through a bounded buffer.

--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -1,7 +1,10 @@
-//! Identifiers, hashing, time and error kinds shared by every slice.
+//! Identifiers, hashing, time, documents and error kinds shared by every
+//! slice.
 
 pub mod collections;
+pub mod document;
 pub mod error;
 pub mod hash;
 pub mod ids;
+pub mod milliseconds;
 pub mod timer;
--- a/src/declarations/mod.rs
+++ b/src/declarations/mod.rs
@@ -115,3 +115,13 @@
         }
     }
 }
+
+/// Longest name of a node, region, failure domain or declared object.
+const NAME_LENGTH: usize = 63;
+
+/// Tells whether a name has only lower-case letters, digits and hyphens, and
+/// is neither empty nor too long.
+pub fn is_valid_name(name: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+    !name.is_empty() && name.len() <= NAME_LENGTH && name.bytes().all(allowed)
+}
--- /dev/null
+++ b/src/settings/check.rs
@@ -0,0 +1,142 @@
+//! Checks that `serde` cannot make: ranges, names and settings that must fit
+//! each other.
+
+use std::net::SocketAddr;
+
+use serde_norway::Value;
+
+use super::NodeSettings;
+use super::fields::AllowedValues;
+use super::fields::SETTING_FIELDS;
+use super::fields::SettingField;
+use crate::base::document::DocumentFault;
+use crate::base::document::excerpt;
+use crate::base::document::find_value;
+use crate::declarations::is_valid_name;
+
+/// Adds every fault of readable settings to `faults`.
+///
+/// A field that has a fault already is left alone.
+pub(super) fn check_settings(
+    place: &str,
+    settings: &NodeSettings,
+    faults: &mut Vec<DocumentFault>,
+) {
+    let Ok(tree) = serde_norway::to_value(settings) else {
+        faults.push(DocumentFault::whole(place, "cannot be written back"));
+        return;
+    };
+    for field in SETTING_FIELDS {
+        let known = faults.iter().any(|fault| &*fault.path == field.path);
+        let value = find_value(&tree, field.path);
+        if let (false, Some(value)) = (known, value) {
+            faults.extend(check_field(place, field, value));
+        }
+    }
+    check_addresses(place, settings, faults);
+    check_lease(place, settings, faults);
+}
+
+fn check_field(place: &str, field: &SettingField, value: &Value) -> Option<DocumentFault> {
+    let problem = match field.allowed {
+        AllowedValues::Number { least, greatest } => value
+            .as_u64()
+            .is_none_or(|number| number < least || number > greatest)
+            .then_some("is out of range"),
+        AllowedValues::Name => value
+            .as_str()
+            .is_none_or(|name| !is_valid_name(name))
+            .then_some("is not a valid name"),
+        AllowedValues::Url => value
+            .as_str()
+            .is_none_or(|url| !is_http_url(url))
+            .then_some("is not a valid URL"),
+        AllowedValues::SocketAddress | AllowedValues::SocketAddresses | AllowedValues::Words(_) => {
+            None
+        }
+    };
+    problem.map(|problem| {
+        DocumentFault::field(place, field.path, Some(excerpt(value)), problem)
+            .allowing(field.allowed.describe())
+    })
+}
+
+fn is_http_url(text: &str) -> bool {
+    reqwest::Url::parse(text)
+        .is_ok_and(|url| matches!(url.scheme(), "http" | "https") && url.has_host())
+}
+
+fn check_addresses(place: &str, settings: &NodeSettings, faults: &mut Vec<DocumentFault>) {
+    let addresses = &settings.addresses;
+    let named = [
+        ("addresses.callers", addresses.callers),
+        ("addresses.peers", addresses.peers),
+        ("addresses.operators", addresses.operators),
+        ("addresses.local", addresses.local),
+    ];
+    for (path, address) in &named[..3] {
+        if address.ip().is_unspecified() {
+            faults.push(address_fault(
+                place,
+                path,
+                *address,
+                "names no interface, and other processes are told to use it",
+                "an IP address that other VMs can reach",
+            ));
+        }
+    }
+    for (index, (path, address)) in named.iter().enumerate() {
+        let earlier = named[..index].iter().find(|(_, other)| other == address);
+        if let (Some((other, _)), true) = (earlier, address.port() != 0) {
+            faults.push(address_fault(
+                place,
+                path,
+                *address,
+                &format!("is also {other}"),
+                "four different addresses",
+            ));
+        }
+    }
+}
+
+fn address_fault(
+    place: &str,
+    path: &str,
+    address: SocketAddr,
+    problem: &str,
+    allowed: &str,
+) -> DocumentFault {
+    let value = address.to_string().into();
+    DocumentFault::field(place, path, Some(value), problem).allowing(allowed)
+}
+
+fn check_lease(place: &str, settings: &NodeSettings, faults: &mut Vec<DocumentFault>) {
+    let lease = &settings.lease;
+    let mut require = |holds: bool, path: &str, value: u128, allowed: &str| {
+        if !holds {
+            let value = value.to_string().into();
+            faults.push(
+                DocumentFault::field(place, path, Some(value), "does not fit lease.lease_ms")
+                    .allowing(allowed),
+            );
+        }
+    };
+    require(
+        lease.renew_interval * 3 <= lease.lease,
+        "lease.renew_interval_ms",
+        lease.renew_interval.as_millis(),
+        "at most a third of lease.lease_ms",
+    );
+    require(
+        lease.margin * 2 < lease.lease,
+        "lease.margin_ms",
+        lease.margin.as_millis(),
+        "less than half of lease.lease_ms",
+    );
+    require(
+        lease.tick_gap < lease.lease,
+        "lease.tick_gap_ms",
+        lease.tick_gap.as_millis(),
+        "less than lease.lease_ms",
+    );
+}
--- /dev/null
+++ b/src/telemetry/catalogue.rs
@@ -0,0 +1,105 @@
+//! Every metric, with its labels, what it measures and what to do about it.
+
+/// Kind of a metric.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MetricKind {
+    /// Only grows.
+    Counter,
+    /// Goes up and down.
+    Gauge,
+    /// Counts by size.
+    Histogram,
+}
+
+impl MetricKind {
+    /// Returns the kind's name in the text format of `/metrics`.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Counter => "counter",
+            Self::Gauge => "gauge",
+            Self::Histogram => "histogram",
+        }
+    }
+}
+
+/// One metric.
+#[derive(Debug, Clone, Copy)]
+pub struct MetricInfo {
+    /// Its name; ends in its unit where it has one.
+    pub name: &'static str,
+    /// Its kind.
+    pub kind: MetricKind,
+    /// Names of its labels.
+    pub labels: &'static [&'static str],
+    /// What it measures.
+    pub help: &'static str,
+    /// What an operator does about it.
+    pub remedy: &'static str,
+}
+
+const fn info(
+    kind: MetricKind,
+    name: &'static str,
+    labels: &'static [&'static str],
+    help: &'static str,
+    remedy: &'static str,
+) -> MetricInfo {
+    MetricInfo {
+        name,
+        kind,
+        labels,
+        help,
+        remedy,
+    }
+}
+
+use MetricKind::Counter;
+use MetricKind::Gauge;
+use MetricKind::Histogram;
+
+/// Every metric, in the order of the operators' page.
+#[rustfmt::skip]
+pub const METRIC_CATALOGUE: &[MetricInfo] = &[
+    info(Counter, "winch_requests_total", &["class", "outcome"], "Requests that this process, as entry, has answered.", "compare classes; a rise of unknown outcomes points at lost owners or failing upstreams"),
+    info(Counter, "winch_request_errors_total", &["class", "error"], "Requests that got no answer of an upstream, by error kind.", "look the kind up on the page of errors"),
+    info(Histogram, "winch_request_seconds", &["class"], "Time from a request's arrival to its answer, in seconds.", "compare the 99th percentile with the class's target"),
+    info(Gauge, "winch_queue_length", &["class"], "Requests that wait at this owner.", "a steady queue in an urgent class needs more slots"),
+    info(Gauge, "winch_running_requests", &["class"], "Requests that run on this process's upstream.", "compare with the upstream's slots"),
+    info(Histogram, "winch_queue_wait_seconds", &["class"], "Time that a request waited at this owner, in seconds.", "long waits of an urgent class mean too few slots or too small a reserve"),
+    info(Counter, "winch_requests_local_total", &[], "Requests that the entry owned itself.", "none"),
+    info(Counter, "winch_requests_forwarded_total", &[], "Requests that the entry sent to another process.", "none"),
+    info(Counter, "winch_routing_retries_total", &[], "Requests that were sent again after a proven not run.", "a lasting rise means that processes disagree on owners; look at winch_log_next_offset"),
+    info(Counter, "winch_retry_budget_exhausted_total", &[], "Retries that were not made, for want of budget.", "find out why owners refuse, before callers are told to retry"),
+    info(Gauge, "winch_lease_live", &[], "Whether this process's lease is live, 0 or 1.", "at 0, check the links to its witnesses"),
+    info(Counter, "winch_lease_renewals_total", &[], "Renewals that a quorum of witnesses promised.", "none"),
+    info(Counter, "winch_lease_lapses_total", &[], "Times that this process's lease lapsed.", "look for pauses of the VM and for lost datagrams"),
+    info(Counter, "winch_tick_gaps_total", &[], "Pauses of this process that closed its gate.", "the VM is short of processor time, or was suspended"),
+    info(Counter, "winch_certificates_total", &[], "Lapse certificates that this process obtained.", "each stands for a lost or paused process; see the log"),
+    info(Gauge, "winch_chains_served", &[], "Chains that this process serves.", "compare nodes; see winch_imbalance_ratio"),
+    info(Counter, "winch_takeovers_total", &[], "Chains that this process took over from a predecessor.", "none after a VM's loss; else look for flapping leases"),
+    info(Counter, "winch_unavailable_seconds_total", &[], "Time that chains taken over by this process were without an owner, in seconds, summed over chains.", "compare with the bound on the page of sizing"),
+    info(Counter, "winch_log_appends_total", &[], "Entries that this process appended to the platform's log.", "a steady rate at rest means that something retries"),
+    info(Counter, "winch_log_append_errors_total", &[], "Appends that failed or whose answer was lost.", "check the platform's log; see the runbook"),
+    info(Counter, "winch_log_reads_total", &[], "Reads of the platform's log.", "none"),
+    info(Counter, "winch_log_read_errors_total", &[], "Reads of the platform's log that failed.", "check the platform's log; serving goes on"),
+    info(Counter, "winch_log_undecodable_total", &[], "Entries of the log that no reader can decode.", "find the writer: another program, or a newer version, appends to the stream"),
+    info(Gauge, "winch_log_next_offset", &[], "Offset up to which this process has folded the log.", "a process that lags behind the others cannot read the log"),
+    info(Gauge, "winch_configuration_age_seconds", &[], "Time since this process last read the log's end, in seconds.", "above some seconds, configuration is not in force here yet"),
+    info(Counter, "winch_datagrams_dropped_total", &["reason"], "Datagrams that were dropped.", "undecodable ones mean another version or another program; overflow means a short buffer"),
+    info(Gauge, "winch_peer_connections", &[], "Connections to other processes.", "none"),
+    info(Counter, "winch_peer_connections_replaced_total", &[], "Connections that went silent and were replaced.", "something between the VMs loses track of connections"),
+    info(Gauge, "winch_planner_term", &[], "The planner's term, as this process has folded it.", "a fast rise means that planners lose one another"),
+    info(Gauge, "winch_planner_holds_term", &[], "Whether this process is the planner, 0 or 1.", "the sum over the fleet should be 1"),
+    info(Gauge, "winch_imbalance_ratio", &["service"], "Greatest number of slices on one node over the mean, minus 1.", "above 0.1 at rest, look at ownership rules and drained nodes"),
+    info(Counter, "winch_chain_moves_total", &[], "Chains whose owner changed, as this process folded them.", "churn; a steady rate at rest means that nodes come and go"),
+    info(Gauge, "winch_upstream_slots", &[], "Slots that the upstream announced.", "none"),
+    info(Gauge, "winch_upstream_limit", &[], "Requests that may run on the upstream at once, adapted to its latency.", "well below winch_upstream_slots means a slow upstream"),
+    info(Gauge, "winch_upstream_announced", &[], "Whether the upstream's announcement is fresh, 0 or 1.", "at 0, look at the upstream"),
+    info(Gauge, "winch_outcome_entries", &[], "Outcomes that are kept for repetitions.", "at the bound of limits.outcome_entries, raise it"),
+    info(Counter, "winch_repetitions_total", &["answer"], "Requests whose idempotency key was known: answered from memory, joined to the running one, or told that the outcome is unknown.", "many repetitions mean callers with too short a timeout"),
+];
+
+/// Finds a metric by its name.
+pub(super) fn find_metric(name: &str) -> Option<&'static MetricInfo> {
+    METRIC_CATALOGUE.iter().find(|metric| metric.name == name)
+}
--- /dev/null
+++ b/src/telemetry/logs.rs
@@ -0,0 +1,71 @@
+//! Sets up the process's log.
+
+use logforth::append::Stderr;
+use logforth::append::asynchronous::AsyncBuilder;
+use logforth::layout::JsonLayout;
+use logforth::layout::TextLayout;
+use logforth::record::Level;
+use logforth::record::LevelFilter;
+
+use crate::settings::LogFormat;
+use crate::settings::LogLevel;
+use crate::settings::LoggingSettings;
+
+/// Most lines that wait to be written; further ones are dropped.
+const BUFFERED_LINES: usize = 8192;
+
+/// Writes what is left of the log when it goes out of scope.
+#[derive(Debug)]
+#[must_use = "the log's last lines are written when the guard is dropped"]
+pub struct LogGuard(());
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        log::logger().flush();
+    }
+}
+
+/// Sends the process's log to standard error, written by a thread of its own.
+///
+/// Does nothing when a logger is already set, so several processes' parts can
+/// be run in one.
+pub fn init(settings: &LoggingSettings) -> LogGuard {
+    let stderr = match settings.format {
+        LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
+        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+    };
+    let writer = AsyncBuilder::new("log-writer")
+        .buffered_lines_limit(Some(BUFFERED_LINES))
+        .overflow_drop_incoming()
+        .append(stderr)
+        .build();
+    let filter = LevelFilter::MoreSevereEqual(level(settings.level));
+    let logger = logforth::core::builder()
+        .dispatch(|dispatch| dispatch.filter(filter).append(writer))
+        .build();
+    let bridge = logforth::bridge::log::LogBridge::new(logger);
+    if log::set_boxed_logger(Box::new(bridge)).is_ok() {
+        log::set_max_level(max_level(settings.level));
+    }
+    LogGuard(())
+}
+
+fn level(level: LogLevel) -> Level {
+    match level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warn => Level::Warn,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+        LogLevel::Trace => Level::Trace,
+    }
+}
+
+fn max_level(level: LogLevel) -> log::LevelFilter {
+    match level {
+        LogLevel::Error => log::LevelFilter::Error,
+        LogLevel::Warn => log::LevelFilter::Warn,
+        LogLevel::Info => log::LevelFilter::Info,
+        LogLevel::Debug => log::LevelFilter::Debug,
+        LogLevel::Trace => log::LevelFilter::Trace,
+    }
+}
--- /dev/null
+++ b/src/telemetry/metrics.rs
@@ -0,0 +1,369 @@
+//! The process's metrics, in one typed group for each slice.
+
+use prometheus::Counter;
+use prometheus::Encoder;
+use prometheus::Gauge;
+use prometheus::GaugeVec;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use prometheus::core::Collector;
+
+use super::catalogue::MetricInfo;
+use super::catalogue::find_metric;
+use super::classes::ClassMetrics;
+use crate::base::error::ErrorKind;
+use crate::base::error::RequestOutcome;
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 16] = [
+    0.000_25, 0.000_5, 0.001, 0.002, 0.004, 0.008, 0.011, 0.016, 0.032, 0.064, 0.128, 0.256, 0.5,
+    1.0, 4.0, 16.0,
+];
+
+/// Label of requests whose class is not declared.
+pub const UNDECLARED_CLASS: &str = "undeclared";
+
+/// Metrics of the entry and of routing.
+#[derive(Debug, Clone)]
+pub struct RoutingMetrics {
+    /// Requests that the entry owned itself.
+    pub local: IntCounter,
+    /// Requests that were sent to another process.
+    pub forwarded: IntCounter,
+    /// Requests that were sent again after a proven not run.
+    pub retries: IntCounter,
+    /// Retries that were not made, for want of budget.
+    pub budget_exhausted: IntCounter,
+}
+
+/// Metrics of leases and ownership.
+#[derive(Debug, Clone)]
+pub struct OwnershipMetrics {
+    /// Whether this process's lease is live, 0 or 1.
+    pub lease_live: IntGauge,
+    /// Renewals that a quorum of witnesses promised.
+    pub renewals: IntCounter,
+    /// Times that the lease lapsed.
+    pub lapses: IntCounter,
+    /// Pauses of the process that closed its gate.
+    pub tick_gaps: IntCounter,
+    /// Lapse certificates that this process obtained.
+    pub certificates: IntCounter,
+    /// Chains that this process serves.
+    pub chains_served: IntGauge,
+    /// Chains that this process took over.
+    pub takeovers: IntCounter,
+    /// Time that chains taken over were without an owner, in seconds.
+    pub unavailable: Counter,
+}
+
+/// Metrics of the platform's log.
+#[derive(Debug, Clone)]
+pub struct LogMetrics {
+    /// Entries appended.
+    pub appends: IntCounter,
+    /// Appends that failed or whose answer was lost.
+    pub append_errors: IntCounter,
+    /// Reads.
+    pub reads: IntCounter,
+    /// Reads that failed.
+    pub read_errors: IntCounter,
+    /// Entries that cannot be decoded.
+    pub undecodable: IntCounter,
+    /// Offset up to which the log is folded.
+    pub next_offset: IntGauge,
+    /// Time since the log's end was last read, in seconds.
+    pub configuration_age: Gauge,
+}
+
+/// Metrics of connections and datagrams.
+#[derive(Debug, Clone)]
+pub struct TransportMetrics {
+    /// Datagrams that could not be decoded.
+    pub undecodable_datagrams: IntCounter,
+    /// Datagrams that found their mailbox full.
+    pub overflowed_datagrams: IntCounter,
+    /// Connections to other processes.
+    pub connections: IntGauge,
+    /// Connections that went silent and were replaced.
+    pub replaced: IntCounter,
+}
+
+/// Metrics of placement.
+#[derive(Debug, Clone)]
+pub struct PlannerMetrics {
+    /// The planner's term.
+    pub term: IntGauge,
+    /// Whether this process is the planner, 0 or 1.
+    pub holds_term: IntGauge,
+    /// Chains whose owner changed.
+    pub moves: IntCounter,
+    imbalance: GaugeVec,
+}
+
+impl PlannerMetrics {
+    /// Sets a service's imbalance: greatest number of slices on one node over
+    /// the mean, minus 1. Takes a lock; not for the request path.
+    pub fn set_imbalance(&self, service: &str, ratio: f64) {
+        self.imbalance.with_label_values(&[service]).set(ratio);
+    }
+}
+
+/// Metrics of the upstream and of delivery to it.
+#[derive(Debug, Clone)]
+pub struct UpstreamMetrics {
+    /// Slots that the upstream announced.
+    pub slots: IntGauge,
+    /// Requests that may run at once.
+    pub limit: IntGauge,
+    /// Whether the announcement is fresh, 0 or 1.
+    pub announced: IntGauge,
+    /// Outcomes that are kept for repetitions.
+    pub outcome_entries: IntGauge,
+    /// Repetitions answered from memory.
+    pub repeated_stored: IntCounter,
+    /// Repetitions joined to the running request.
+    pub repeated_joined: IntCounter,
+    /// Repetitions told that the outcome is unknown.
+    pub repeated_unknown: IntCounter,
+}
+
+#[derive(Debug, Clone)]
+struct ClassFamilies {
+    requests: IntCounterVec,
+    errors: IntCounterVec,
+    latency: HistogramVec,
+    wait: HistogramVec,
+    queue: IntGaugeVec,
+    running: IntGaugeVec,
+}
+
+/// Every metric of one process.
+///
+/// Cheap to clone; clones share their numbers.
+#[derive(Debug, Clone)]
+pub struct MetricRegistry {
+    registry: Registry,
+    classes: ClassFamilies,
+    /// The entry and routing.
+    pub routing: RoutingMetrics,
+    /// Leases and ownership.
+    pub ownership: OwnershipMetrics,
+    /// The platform's log.
+    pub log: LogMetrics,
+    /// Connections and datagrams.
+    pub transport: TransportMetrics,
+    /// Placement.
+    pub planner: PlannerMetrics,
+    /// The upstream and delivery to it.
+    pub upstream: UpstreamMetrics,
+}
+
+impl Default for MetricRegistry {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl MetricRegistry {
+    /// Creates a registry with every metric at zero.
+    pub fn new() -> Self {
+        let builder = GroupBuilder(Registry::new());
+        Self {
+            classes: builder.classes(),
+            routing: builder.routing(),
+            ownership: builder.ownership(),
+            log: builder.log(),
+            transport: builder.transport(),
+            planner: builder.planner(),
+            upstream: builder.upstream(),
+            registry: builder.0,
+        }
+    }
+
+    /// Returns the metrics of a class. Takes a lock: call it when the class is
+    /// declared, not on the request path.
+    pub fn class(&self, class: &str) -> ClassMetrics {
+        let families = &self.classes;
+        let outcome = |outcome: RequestOutcome| {
+            families
+                .requests
+                .with_label_values(&[class, outcome.as_str()])
+        };
+        ClassMetrics {
+            answered: outcome(RequestOutcome::Answered),
+            not_run: outcome(RequestOutcome::NotRun),
+            unknown: outcome(RequestOutcome::Unknown),
+            errors: ErrorKind::ALL
+                .iter()
+                .map(|kind| {
+                    families
+                        .errors
+                        .with_label_values(&[class, kind.answer().slug])
+                })
+                .collect(),
+            latency: families.latency.with_label_values(&[class]),
+            wait: families.wait.with_label_values(&[class]),
+            queue: families.queue.with_label_values(&[class]),
+            running: families.running.with_label_values(&[class]),
+        }
+    }
+
+    /// Writes every metric in the text format of `prometheus`.
+    pub fn encode(&self) -> String {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        if let Err(error) = TextEncoder::new().encode(&families, &mut text) {
+            log::error!("telemetry: cannot write metrics: {error}");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+/// Creates and registers metrics of the catalogue.
+struct GroupBuilder(Registry);
+
+impl GroupBuilder {
+    fn register<C: Collector + Clone + 'static>(&self, collector: &C) {
+        self.0
+            .register(Box::new(collector.clone()))
+            .expect("each metric of the catalogue is registered once");
+    }
+
+    fn info(name: &str) -> &'static MetricInfo {
+        find_metric(name).expect("each metric is in the catalogue")
+    }
+
+    fn options(name: &str) -> Opts {
+        let info = Self::info(name);
+        Opts::new(info.name, info.help)
+    }
+
+    fn counter(&self, name: &str) -> IntCounter {
+        let counter = IntCounter::with_opts(Self::options(name)).expect("a valid name");
+        self.register(&counter);
+        counter
+    }
+
+    fn counters(&self, name: &str) -> IntCounterVec {
+        let labels = Self::info(name).labels;
+        let counters = IntCounterVec::new(Self::options(name), labels).expect("a valid name");
+        self.register(&counters);
+        counters
+    }
+
+    fn gauge(&self, name: &str) -> IntGauge {
+        let gauge = IntGauge::with_opts(Self::options(name)).expect("a valid name");
+        self.register(&gauge);
+        gauge
+    }
+
+    fn gauges(&self, name: &str) -> IntGaugeVec {
+        let labels = Self::info(name).labels;
+        let gauges = IntGaugeVec::new(Self::options(name), labels).expect("a valid name");
+        self.register(&gauges);
+        gauges
+    }
+
+    fn histograms(&self, name: &str) -> HistogramVec {
+        let info = Self::info(name);
+        let options = HistogramOpts::new(info.name, info.help).buckets(LATENCY_BOUNDS.to_vec());
+        let histograms = HistogramVec::new(options, info.labels).expect("a valid name");
+        self.register(&histograms);
+        histograms
+    }
+
+    fn classes(&self) -> ClassFamilies {
+        ClassFamilies {
+            requests: self.counters("winch_requests_total"),
+            errors: self.counters("winch_request_errors_total"),
+            latency: self.histograms("winch_request_seconds"),
+            wait: self.histograms("winch_queue_wait_seconds"),
+            queue: self.gauges("winch_queue_length"),
+            running: self.gauges("winch_running_requests"),
+        }
+    }
+
+    fn routing(&self) -> RoutingMetrics {
+        RoutingMetrics {
+            local: self.counter("winch_requests_local_total"),
+            forwarded: self.counter("winch_requests_forwarded_total"),
+            retries: self.counter("winch_routing_retries_total"),
+            budget_exhausted: self.counter("winch_retry_budget_exhausted_total"),
+        }
+    }
+
+    fn ownership(&self) -> OwnershipMetrics {
+        let unavailable = Counter::with_opts(Self::options("winch_unavailable_seconds_total"))
+            .expect("a valid name");
+        self.register(&unavailable);
+        OwnershipMetrics {
+            lease_live: self.gauge("winch_lease_live"),
+            renewals: self.counter("winch_lease_renewals_total"),
+            lapses: self.counter("winch_lease_lapses_total"),
+            tick_gaps: self.counter("winch_tick_gaps_total"),
+            certificates: self.counter("winch_certificates_total"),
+            chains_served: self.gauge("winch_chains_served"),
+            takeovers: self.counter("winch_takeovers_total"),
+            unavailable,
+        }
+    }
+
+    fn log(&self) -> LogMetrics {
+        let age = Gauge::with_opts(Self::options("winch_configuration_age_seconds"))
+            .expect("a valid name");
+        self.register(&age);
+        LogMetrics {
+            appends: self.counter("winch_log_appends_total"),
+            append_errors: self.counter("winch_log_append_errors_total"),
+            reads: self.counter("winch_log_reads_total"),
+            read_errors: self.counter("winch_log_read_errors_total"),
+            undecodable: self.counter("winch_log_undecodable_total"),
+            next_offset: self.gauge("winch_log_next_offset"),
+            configuration_age: age,
+        }
+    }
+
+    fn transport(&self) -> TransportMetrics {
+        let dropped = self.counters("winch_datagrams_dropped_total");
+        TransportMetrics {
+            undecodable_datagrams: dropped.with_label_values(&["undecodable"]),
+            overflowed_datagrams: dropped.with_label_values(&["overflow"]),
+            connections: self.gauge("winch_peer_connections"),
+            replaced: self.counter("winch_peer_connections_replaced_total"),
+        }
+    }
+
+    fn planner(&self) -> PlannerMetrics {
+        let options = Self::options("winch_imbalance_ratio");
+        let labels = Self::info("winch_imbalance_ratio").labels;
+        let imbalance = GaugeVec::new(options, labels).expect("a valid name");
+        self.register(&imbalance);
+        PlannerMetrics {
+            term: self.gauge("winch_planner_term"),
+            holds_term: self.gauge("winch_planner_holds_term"),
+            moves: self.counter("winch_chain_moves_total"),
+            imbalance,
+        }
+    }
+
+    fn upstream(&self) -> UpstreamMetrics {
+        let repetitions = self.counters("winch_repetitions_total");
+        UpstreamMetrics {
+            slots: self.gauge("winch_upstream_slots"),
+            limit: self.gauge("winch_upstream_limit"),
+            announced: self.gauge("winch_upstream_announced"),
+            outcome_entries: self.gauge("winch_outcome_entries"),
+            repeated_stored: repetitions.with_label_values(&["stored"]),
+            repeated_joined: repetitions.with_label_values(&["joined"]),
+            repeated_unknown: repetitions.with_label_values(&["unknown"]),
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,5 @@
 //! The integration test program: one module per feature.
 
 mod error_table;
+mod settings;
+mod telemetry;
