declarations: read services, classes and rules from YAML

A set is read from files and directories, many documents a file. Every fault is listed with file, document, field path, wrong value and what is allowed, and a set with any fault is refused whole. Declarations are then checked against each other: rules name a declared service, slices and shares stay within their totals, deadlines are not shorter than targets.

Settings and declarations share one kind of field table.

--- a/src/base/document.rs
+++ b/src/base/document.rs
@@ -92,10 +92,16 @@
 pub struct RequiredField {
     /// Path of the field, its names separated by dots.
     pub path: &'static str,
-    /// What stands in while the rest is read; must be readable.
+    /// What stands in while the rest is read, in YAML; must be readable.
     pub placeholder: &'static str,
 }
 
+impl RequiredField {
+    fn stand_in(self) -> Value {
+        serde_norway::from_str(self.placeholder).unwrap_or_default()
+    }
+}
+
 /// Reads a value and adds every fault to `faults`.
 ///
 /// Returns none when nothing can be read at all.
@@ -111,7 +117,7 @@
     for field in required {
         if find_value(&value, field.path).is_none_or(Value::is_null) {
             faults.push(DocumentFault::field(place, field.path, None, "is missing"));
-            insert_value(&mut value, field.path, Value::from(field.placeholder));
+            insert_value(&mut value, field.path, field.stand_in());
         }
     }
     loop {
@@ -128,11 +134,17 @@
             return None;
         }
         if let Some(field) = required.iter().find(|field| field.path == &*path) {
-            insert_value(&mut value, field.path, Value::from(field.placeholder));
+            insert_value(&mut value, field.path, field.stand_in());
         }
     }
 }
 
+/// Lists faults one a line, as an error.
+pub fn report_faults(faults: &[DocumentFault]) -> eyre::Report {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    eyre::eyre!("{}", lines.join("\n"))
+}
+
 /// Finds the value at a path of names separated by dots.
 pub fn find_value<'a>(root: &'a Value, path: &str) -> Option<&'a Value> {
     path.split('.')
@@ -142,11 +154,8 @@
 /// Writes a value on one line, cut to a readable length.
 pub fn excerpt(value: &Value) -> Box<str> {
     let line = match value {
-        Value::String(text) => text.clone(),
-        other => serde_norway::to_string(other)
-            .unwrap_or_default()
-            .trim_end()
-            .replace('\n', " "),
+        Value::String(text) => text.replace('\n', " "),
+        other => serde_json::to_string(other).unwrap_or_default(),
     };
     match line.char_indices().nth(EXCERPT_LENGTH) {
         Some((end, _)) => format!("{}...", &line[..end]).into(),
--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -4,6 +4,7 @@
 pub mod collections;
 pub mod document;
 pub mod error;
+pub mod fields;
 pub mod hash;
 pub mod ids;
 pub mod milliseconds;
--- a/src/declarations/mod.rs
+++ b/src/declarations/mod.rs
@@ -2,7 +2,22 @@
 //!
 //! Declarations are written in YAML and kept under version control. Each is
 //! an object with a kind and a name; the log holds one version of each.
+//!
+//! [`document`] reads and writes one declaration, [`set`] a whole set from
+//! files, and [`check`] tells whether declarations fit each other. A set with
+//! any fault is refused whole: half a set in force would be a configuration
+//! that nobody wrote. The types here travel in the log's records, so their
+//! YAML form is kept apart from them and may change without changing records.
+
+pub mod check;
+pub mod document;
+pub mod fields;
+pub mod set;
 
+use std::fmt;
+use std::fmt::Display;
+use std::fmt::Formatter;
+use std::str::FromStr;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -24,6 +39,39 @@
     OwnershipRule,
 }
 
+impl ObjectKind {
+    /// Every kind.
+    pub const ALL: [Self; 3] = [Self::Service, Self::PriorityClass, Self::OwnershipRule];
+
+    /// Returns the kind's name in declarations.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Service => "Service",
+            Self::PriorityClass => "PriorityClass",
+            Self::OwnershipRule => "OwnershipRule",
+        }
+    }
+}
+
+impl Display for ObjectKind {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+impl FromStr for ObjectKind {
+    type Err = eyre::Report;
+
+    fn from_str(name: &str) -> Result<Self, Self::Err> {
+        Self::ALL
+            .into_iter()
+            .find(|kind| kind.as_str().eq_ignore_ascii_case(name))
+            .ok_or_else(|| {
+                eyre::eyre!("unknown kind `{name}`; name Service, PriorityClass or OwnershipRule")
+            })
+    }
+}
+
 /// Names a declared object.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ObjectKey {
@@ -33,8 +81,15 @@
     pub name: Box<str>,
 }
 
+impl Display for ObjectKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind, self.name)
+    }
+}
+
 /// How a service's requests find their upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum DivisionMode {
     /// By the request's key.
     Key,
@@ -115,13 +170,3 @@
         }
     }
 }
-
-/// Longest name of a node, region, failure domain or declared object.
-const NAME_LENGTH: usize = 63;
-
-/// Tells whether a name has only lower-case letters, digits and hyphens, and
-/// is neither empty nor too long.
-pub fn is_valid_name(name: &str) -> bool {
-    let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
-    !name.is_empty() && name.len() <= NAME_LENGTH && name.bytes().all(allowed)
-}
--- /dev/null
+++ b/src/declarations/set.rs
@@ -0,0 +1,164 @@
+//! Reads a set of declarations from files and directories.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use eyre::WrapErr;
+use serde::Deserialize;
+use serde_norway::Value;
+
+use super::Declaration;
+use super::ObjectKey;
+use super::check::check_together;
+use super::document::read_declaration;
+use crate::base::collections::FastMap;
+use crate::base::document::DocumentFault;
+use crate::base::document::report_faults;
+
+/// A declaration with the file and document that it stands in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlacedDeclaration {
+    /// The file, with the number of the document where it has several.
+    pub place: Box<str>,
+    /// The declaration.
+    pub declaration: Declaration,
+}
+
+/// Declarations whose every document is sound.
+///
+/// They need not fit each other: a set may add to what is declared already.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DeclarationSet {
+    /// The declarations, in the order of files and documents.
+    pub placed: Vec<PlacedDeclaration>,
+}
+
+impl DeclarationSet {
+    /// Reads files, and the `.yaml` and `.yml` files of directories.
+    ///
+    /// Fails with every fault listed, one a line.
+    pub fn load(paths: &[PathBuf]) -> eyre::Result<Self> {
+        let mut texts = Vec::new();
+        for path in paths {
+            for file in list_files(path)? {
+                let place = file.display().to_string();
+                let text = std::fs::read_to_string(&file)
+                    .wrap_err_with(|| format!("{place}: cannot be read"))?;
+                texts.push((place, text));
+            }
+        }
+        let texts: Vec<(&str, &str)> = texts
+            .iter()
+            .map(|(place, text)| (place.as_str(), text.as_str()))
+            .collect();
+        Self::parse(&texts).map_err(|faults| report_faults(&faults))
+    }
+
+    /// Reads texts, each with the name of its file.
+    ///
+    /// Fails with every fault.
+    pub fn parse(texts: &[(&str, &str)]) -> Result<Self, Vec<DocumentFault>> {
+        let mut faults = Vec::new();
+        let mut placed = Vec::new();
+        for (file, text) in texts {
+            for (place, value) in split_documents(file, text, &mut faults) {
+                let declaration = read_declaration(&place, value, &mut faults);
+                placed.extend(declaration.map(|declaration| PlacedDeclaration {
+                    place: place.into(),
+                    declaration,
+                }));
+            }
+        }
+        faults.extend(find_repeated(&placed));
+        if faults.is_empty() {
+            Ok(Self { placed })
+        } else {
+            Err(faults)
+        }
+    }
+
+    /// Checks the set as a whole configuration.
+    ///
+    /// Fails with every fault listed, one a line.
+    pub fn check_complete(&self) -> eyre::Result<()> {
+        let faults = check_together(&self.placed);
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(report_faults(&faults))
+        }
+    }
+}
+
+fn list_files(path: &Path) -> eyre::Result<Vec<PathBuf>> {
+    if !path.is_dir() {
+        return Ok(vec![path.to_owned()]);
+    }
+    let entries = std::fs::read_dir(path)
+        .wrap_err_with(|| format!("{}: cannot be listed", path.display()))?;
+    let mut files = Vec::new();
+    for entry in entries {
+        let file = entry?.path();
+        let is_yaml = file
+            .extension()
+            .is_some_and(|extension| extension == "yaml" || extension == "yml");
+        if is_yaml && file.is_file() {
+            files.push(file);
+        }
+    }
+    files.sort();
+    if files.is_empty() {
+        eyre::bail!("{}: holds no .yaml or .yml file", path.display());
+    }
+    Ok(files)
+}
+
+fn split_documents(
+    file: &str,
+    text: &str,
+    faults: &mut Vec<DocumentFault>,
+) -> Vec<(String, Value)> {
+    let mut values = Vec::new();
+    for document in serde_norway::Deserializer::from_str(text) {
+        match Value::deserialize(document) {
+            Ok(value) => values.push(value),
+            Err(error) => {
+                let place = format!("{file}: document {}", values.len() + 1);
+                faults.push(DocumentFault::whole(&place, error.to_string()));
+                break;
+            }
+        }
+    }
+    let single = values.len() == 1;
+    values
+        .into_iter()
+        .enumerate()
+        .filter(|(_, value)| !value.is_null())
+        .map(|(index, value)| {
+            let place = if single {
+                file.to_owned()
+            } else {
+                format!("{file}: document {}", index + 1)
+            };
+            (place, value)
+        })
+        .collect()
+}
+
+fn find_repeated(placed: &[PlacedDeclaration]) -> Vec<DocumentFault> {
+    let mut first: FastMap<ObjectKey, &str> = FastMap::default();
+    let mut faults = Vec::new();
+    for item in placed {
+        let key = item.declaration.key();
+        if let Some(place) = first.get(&key) {
+            let problem = format!("{} is declared already by {place}", key.kind);
+            faults.push(
+                DocumentFault::field(&item.place, "name", Some(key.name), problem)
+                    .allowing("one declaration of each name"),
+            );
+        } else {
+            first.insert(key, &item.place);
+        }
+    }
+    faults
+}
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -3,16 +3,10 @@
 
 use std::net::SocketAddr;
 
-use serde_norway::Value;
-
 use super::NodeSettings;
-use super::fields::AllowedValues;
 use super::fields::SETTING_FIELDS;
-use super::fields::SettingField;
 use crate::base::document::DocumentFault;
-use crate::base::document::excerpt;
-use crate::base::document::find_value;
-use crate::declarations::is_valid_name;
+use crate::base::fields::check_fields;
 
 /// Adds every fault of readable settings to `faults`.
 ///
@@ -26,46 +20,11 @@
         faults.push(DocumentFault::whole(place, "cannot be written back"));
         return;
     };
-    for field in SETTING_FIELDS {
-        let known = faults.iter().any(|fault| &*fault.path == field.path);
-        let value = find_value(&tree, field.path);
-        if let (false, Some(value)) = (known, value) {
-            faults.extend(check_field(place, field, value));
-        }
-    }
+    check_fields(place, SETTING_FIELDS, &tree, faults);
     check_addresses(place, settings, faults);
     check_lease(place, settings, faults);
 }
 
-fn check_field(place: &str, field: &SettingField, value: &Value) -> Option<DocumentFault> {
-    let problem = match field.allowed {
-        AllowedValues::Number { least, greatest } => value
-            .as_u64()
-            .is_none_or(|number| number < least || number > greatest)
-            .then_some("is out of range"),
-        AllowedValues::Name => value
-            .as_str()
-            .is_none_or(|name| !is_valid_name(name))
-            .then_some("is not a valid name"),
-        AllowedValues::Url => value
-            .as_str()
-            .is_none_or(|url| !is_http_url(url))
-            .then_some("is not a valid URL"),
-        AllowedValues::SocketAddress | AllowedValues::SocketAddresses | AllowedValues::Words(_) => {
-            None
-        }
-    };
-    problem.map(|problem| {
-        DocumentFault::field(place, field.path, Some(excerpt(value)), problem)
-            .allowing(field.allowed.describe())
-    })
-}
-
-fn is_http_url(text: &str) -> bool {
-    reqwest::Url::parse(text)
-        .is_ok_and(|url| matches!(url.scheme(), "http" | "https") && url.has_host())
-}
-
 fn check_addresses(place: &str, settings: &NodeSettings, faults: &mut Vec<DocumentFault>) {
     let addresses = &settings.addresses;
     let named = [
--- a/src/settings/defaults.rs
+++ b/src/settings/defaults.rs
@@ -7,10 +7,10 @@
 use super::LogSettings;
 use super::NodeSettings;
 use super::fields::SETTING_FIELDS;
-use super::fields::SettingField;
 use super::sections::AddressSettings;
 use crate::base::document::excerpt;
 use crate::base::document::find_value;
+use crate::base::fields::FieldRule;
 
 /// Returns a settings file with every setting, its default and a comment.
 ///
@@ -34,7 +34,7 @@
 }
 
 /// Returns the default of a setting as text; none for a required one.
-pub fn default_text(field: &SettingField) -> Option<Box<str>> {
+pub fn default_text(field: &FieldRule) -> Option<Box<str>> {
     let tree = serde_norway::to_value(example_settings()).unwrap_or_default();
     if field.required {
         return None;
@@ -42,7 +42,7 @@
     find_value(&tree, field.path).map(excerpt)
 }
 
-fn comment(field: &SettingField) -> String {
+fn comment(field: &FieldRule) -> String {
     let start = if field.required { "required: " } else { "" };
     format!("{start}{} ({})", field.meaning, field.allowed.describe())
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -28,7 +28,6 @@
 pub use self::defaults::default_text;
 pub use self::defaults::print_defaults;
 use self::fields::SETTING_FIELDS;
-use self::fields::find_field;
 pub use self::sections::AddressSettings;
 pub use self::sections::DrainSettings;
 pub use self::sections::LeaseSettings;
@@ -38,8 +37,10 @@
 pub use self::sections::LogSettings;
 pub use self::sections::LoggingSettings;
 use crate::base::document::DocumentFault;
-use crate::base::document::RequiredField;
 use crate::base::document::read_document;
+use crate::base::document::report_faults;
+use crate::base::fields::add_allowed;
+use crate::base::fields::required_fields;
 use crate::base::ids::DomainName;
 use crate::base::ids::NodeName;
 use crate::base::ids::RegionName;
@@ -92,7 +93,7 @@
         let place = path.display().to_string();
         let text = std::fs::read_to_string(path)
             .wrap_err_with(|| format!("{place}: cannot be read; name a settings file"))?;
-        Self::parse(&place, &text).map_err(|faults| list_faults(&faults))
+        Self::parse(&place, &text).map_err(|faults| report_faults(&faults))
     }
 
     /// Reads settings from text; `place` names the file in the faults.
@@ -102,38 +103,15 @@
         let value: Value = serde_norway::from_str(text)
             .map_err(|error| vec![DocumentFault::whole(place, error.to_string())])?;
         let mut faults = Vec::new();
-        let settings = read_document::<Self>(place, value, &required_fields(), &mut faults);
+        let settings =
+            read_document::<Self>(place, value, &required_fields(SETTING_FIELDS), &mut faults);
         if let Some(settings) = &settings {
             check_settings(place, settings, &mut faults);
         }
-        add_allowed(&mut faults);
+        add_allowed(SETTING_FIELDS, &mut faults);
         match settings {
             Some(settings) if faults.is_empty() => Ok(settings),
             _ => Err(faults),
         }
     }
 }
-
-fn required_fields() -> Vec<RequiredField> {
-    SETTING_FIELDS
-        .iter()
-        .filter(|field| field.required)
-        .map(|field| RequiredField {
-            path: field.path,
-            placeholder: field.allowed.placeholder(),
-        })
-        .collect()
-}
-
-fn add_allowed(faults: &mut [DocumentFault]) {
-    for fault in faults {
-        if let (None, Some(field)) = (&fault.allowed, find_field(&fault.path)) {
-            fault.allowed = Some(field.allowed.describe());
-        }
-    }
-}
-
-fn list_faults(faults: &[DocumentFault]) -> eyre::Report {
-    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
-    eyre::eyre!("{}", lines.join("\n"))
-}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The integration test program: one module per feature.
 
+mod declarations;
 mod error_table;
 mod settings;
 mod telemetry;
