--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 mod declarations;
 mod error_table;
+mod fold;
 mod settings;
 mod telemetry;
