--- a/src/bin/winchd/main.rs
+++ b/src/bin/winchd/main.rs
@@ -1,3 +1,48 @@
-//! Entry point of `winchd`.
+//! Entry point of `winchd`, the process beside each upstream.
 
-fn main() {}
+mod check;
+
+use std::process::ExitCode;
+
+use clap::CommandFactory;
+use clap::Parser;
+use clap::Subcommand;
+
+/// Routes requests to the owners of their keys, beside one upstream.
+#[derive(Debug, Parser)]
+#[command(name = "winchd", version)]
+struct Cli {
+    /// Print a settings file with every default and a comment, and exit.
+    #[arg(long)]
+    print_defaults: bool,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Check a settings file and list every fault in it.
+    Check(check::CheckArgs),
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    if cli.print_defaults {
+        print!("{}", buckthornwinch::settings::print_defaults());
+        return ExitCode::SUCCESS;
+    }
+    let result = match cli.command {
+        Some(Command::Check(args)) => check::exec(&args),
+        None => {
+            eprintln!("{}", Cli::command().render_help());
+            return ExitCode::from(2);
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
