--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,8 @@
 //! The integration test program: one module per feature.
 
+mod declarations;
 mod delivery;
 mod error_table;
 mod fold;
+mod settings;
+mod telemetry;
