--- /dev/null
+++ b/crates/winch-standin/src/commands/upstream.rs
@@ -0,0 +1,87 @@
+//! `winch-standin upstream`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::ArgAction;
+use clap::Args;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use winch_standin::upstream_standin::UpstreamSettings;
+use winch_standin::upstream_standin::UpstreamStandin;
+
+const LEAVE_LIMIT: Duration = Duration::from_secs(30);
+
+/// Arguments of `upstream`.
+#[derive(Debug, Args)]
+pub struct UpstreamArgs {
+    /// Name of the service.
+    #[arg(long)]
+    service: Box<str>,
+    /// Where to listen.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// Where the local winchd takes announcements.
+    #[arg(long)]
+    announce_to: Option<SocketAddr>,
+    /// How many orders run at once.
+    #[arg(long, default_value_t = 20)]
+    slots: u16,
+    /// How many connections to announce.
+    #[arg(long, default_value_t = 130)]
+    connections: u16,
+    /// How many orders wait for a slot before load is shed.
+    #[arg(long, default_value_t = 20)]
+    backlog: usize,
+    /// Time that an order runs at least, in microseconds.
+    #[arg(long, default_value_t = 0)]
+    service_us: u64,
+    /// Largest random time added to that, in microseconds.
+    #[arg(long, default_value_t = 0)]
+    jitter_us: u64,
+    /// Time after the start during which orders run slower, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    cold_start_ms: u64,
+    /// Whether to refuse superseded epochs and ended leases.
+    #[arg(long, default_value_t = true, action = ArgAction::Set)]
+    checks_fence: bool,
+    /// Whether to cancel running orders.
+    #[arg(long, default_value_t = true, action = ArgAction::Set)]
+    accepts_cancel: bool,
+    /// Longest time of one order to announce, in milliseconds.
+    #[arg(long, default_value_t = 2_000)]
+    longest_order_ms: u64,
+    /// Padding of each answer, in bytes.
+    #[arg(long, default_value_t = 64)]
+    answer_padding: usize,
+    /// File to which the ledger is also written.
+    #[arg(long)]
+    ledger_file: Option<PathBuf>,
+}
+
+/// Serves an upstream until the process is ended; SIGTERM leaves first.
+pub async fn exec(args: UpstreamArgs) -> eyre::Result<()> {
+    let settings = UpstreamSettings::builder()
+        .service(args.service)
+        .address(args.listen)
+        .maybe_announce_to(args.announce_to)
+        .slots(args.slots)
+        .connections(args.connections)
+        .backlog(args.backlog)
+        .service_time(Duration::from_micros(args.service_us))
+        .service_jitter(Duration::from_micros(args.jitter_us))
+        .cold_start(Duration::from_millis(args.cold_start_ms))
+        .checks_fence(args.checks_fence)
+        .accepts_cancel(args.accepts_cancel)
+        .longest_order(Duration::from_millis(args.longest_order_ms))
+        .answer_padding(args.answer_padding)
+        .maybe_ledger_file(args.ledger_file)
+        .build();
+    let mut terminated = signal(SignalKind::terminate())?;
+    let mut standin = UpstreamStandin::start(settings).await?;
+    println!("listening on {}", standin.address());
+    terminated.recv().await;
+    standin.leave(LEAVE_LIMIT).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/winch-standin/src/upstream_standin/fence.rs
@@ -0,0 +1,52 @@
+//! Refuses orders of a superseded epoch or an ended lease.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use rustc_hash::FxHashMap;
+
+/// The grant that an order came with.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) struct OrderGrant {
+    /// The slice; empty when none was given.
+    pub(super) slice: Box<str>,
+    /// The epoch; 0 when none was given.
+    pub(super) epoch: u64,
+    /// End of the lease, in milliseconds since the Unix epoch.
+    pub(super) expires_ms: Option<u64>,
+}
+
+/// The highest epoch seen for each slice.
+#[derive(Debug, Default)]
+pub(super) struct FenceTable {
+    highest: Mutex<FxHashMap<Box<str>, u64>>,
+}
+
+impl FenceTable {
+    /// Returns whether an order may start now, and remembers its epoch.
+    pub(super) fn admit(&self, grant: &OrderGrant) -> bool {
+        if grant.expires_ms.is_some_and(|expiry| unix_ms() >= expiry) {
+            return false;
+        }
+        let mut highest = self.highest.lock().unwrap_or_else(PoisonError::into_inner);
+        match highest.get_mut(&grant.slice) {
+            Some(known) if grant.epoch < *known => false,
+            Some(known) => {
+                *known = grant.epoch;
+                true
+            }
+            None => {
+                highest.insert(grant.slice.clone(), grant.epoch);
+                true
+            }
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! The integration test program: one module per feature.
 
 mod error_table;
+mod standins;
