--- a/crates/winch-standin/src/lib.rs
+++ b/crates/winch-standin/src/lib.rs
@@ -1,1 +1,15 @@
 //! Stand-ins of the platform's log and of an upstream.
+//!
+//! Both serve HTTP on loopback, run inside another process or as the program
+//! `winch-standin`, and have faults that are switched at run time.
+//!
+//! * [`log_standin`]: an append-only log with offsets, bounded rate and
+//!   bounded retention.
+//! * [`upstream_standin`]: an upstream with slots, service time, cold start,
+//!   fence checks and a ledger of every order that it ran.
+//! * [`echo`]: the answer of the upstream, by which a caller verifies that it
+//!   got its own answer, and the whole of it.
+
+pub mod echo;
+pub mod log_standin;
+pub mod upstream_standin;
--- a/crates/winch-standin/src/main.rs
+++ b/crates/winch-standin/src/main.rs
@@ -1,3 +1,33 @@
 //! Runs one stand-in of the platform's services.
 
-fn main() {}
+mod commands;
+
+use clap::Parser;
+use clap::Subcommand;
+
+use commands::log;
+use commands::upstream;
+
+/// Stand-ins of the platform's log and of an upstream.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct StandinArgs {
+    #[command(subcommand)]
+    command: StandinCommand,
+}
+
+#[derive(Debug, Subcommand)]
+enum StandinCommand {
+    /// Serves an append-only log.
+    Log(log::LogArgs),
+    /// Serves an upstream.
+    Upstream(upstream::UpstreamArgs),
+}
+
+#[tokio::main(worker_threads = 2)]
+async fn main() -> eyre::Result<()> {
+    match StandinArgs::parse().command {
+        StandinCommand::Log(args) => log::exec(args).await,
+        StandinCommand::Upstream(args) => upstream::exec(args).await,
+    }
+}
