--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,3 +6,4 @@
 mod fold;
 mod settings;
 mod telemetry;
+mod standins;
