--- a/crates/winch-standin/src/commands/log.rs
+++ b/crates/winch-standin/src/commands/log.rs
@@ -9,7 +9,8 @@
 use winch_standin::log_standin::LogStandin;
 
 /// Arguments of `log`.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct LogArgs {
     /// Where to listen.
     #[arg(long, default_value = "127.0.0.1:0")]
--- a/crates/winch-standin/src/commands/upstream.rs
+++ b/crates/winch-standin/src/commands/upstream.rs
@@ -14,7 +14,8 @@
 const LEAVE_LIMIT: Duration = Duration::from_secs(30);
 
 /// Arguments of `upstream`.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct UpstreamArgs {
     /// Name of the service.
     #[arg(long)]
--- a/crates/winch-standin/src/log_standin/mod.rs
+++ b/crates/winch-standin/src/log_standin/mod.rs
@@ -29,7 +29,8 @@
 use store::LogStore;
 
 /// How the log behaves.
-#[derive(Debug, Clone, Builder)]
+#[derive(Debug, Clone)]
+#[derive(Builder)]
 pub struct LogSettings {
     /// Where it listens.
     #[builder(default = SocketAddr::from(([127, 0, 0, 1], 0)))]
@@ -46,7 +47,8 @@
 }
 
 /// Faults, switched at run time. Absent fields are off.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LogFaults {
     /// Every call is refused with 503.
@@ -61,7 +63,8 @@
 }
 
 /// What the log has done so far.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LogStats {
     /// Appends that took effect.
     pub appends: u64,
--- a/crates/winch-standin/src/log_standin/server.rs
+++ b/crates/winch-standin/src/log_standin/server.rs
@@ -23,29 +23,34 @@
 
 type Answer = WithStatus<Json>;
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct OffsetAnswer {
     offset: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct EarliestAnswer {
     earliest: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct EntryAnswer {
     offset: u64,
     data: String,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct PageAnswer {
     end: u64,
     entries: Vec<EntryAnswer>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ReadQuery {
     from: u64,
     limit: Option<usize>,
--- a/crates/winch-standin/src/main.rs
+++ b/crates/winch-standin/src/main.rs
@@ -9,14 +9,16 @@
 use commands::upstream;
 
 /// Stand-ins of the platform's log and of an upstream.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 #[command(version)]
 struct StandinArgs {
     #[command(subcommand)]
     command: StandinCommand,
 }
 
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 enum StandinCommand {
     /// Serves an append-only log.
     Log(log::LogArgs),
--- a/crates/winch-standin/src/upstream_standin/announcer.rs
+++ b/crates/winch-standin/src/upstream_standin/announcer.rs
@@ -11,7 +11,8 @@
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(400);
 
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 struct AnnounceBody {
     service: Box<str>,
     address: SocketAddr,
--- a/crates/winch-standin/src/upstream_standin/ledger.rs
+++ b/crates/winch-standin/src/upstream_standin/ledger.rs
@@ -14,7 +14,8 @@
 use serde::Serialize;
 
 /// One order.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LedgerEntry {
     /// Id of the order.
     pub order: Box<str>,
@@ -33,7 +34,8 @@
 }
 
 /// A line of the ledger's file.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(untagged)]
 enum LedgerLine {
     Finished { index: usize, finished_unix_us: u64 },
--- a/crates/winch-standin/src/upstream_standin/mod.rs
+++ b/crates/winch-standin/src/upstream_standin/mod.rs
@@ -40,7 +40,8 @@
 use order::OrderRunner;
 
 /// How the upstream behaves.
-#[derive(Debug, Clone, Builder)]
+#[derive(Debug, Clone)]
+#[derive(Builder)]
 pub struct UpstreamSettings {
     /// Name of the service.
     #[builder(into)]
@@ -86,7 +87,8 @@
 }
 
 /// What the health endpoint says.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum HealthReport {
     /// Whether orders fail.
@@ -99,7 +101,8 @@
 }
 
 /// Faults, switched at run time. Absent fields are off.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct UpstreamFaults {
     /// Probability that an order is run and answered with 500.
--- a/crates/winch-standin/src/upstream_standin/order.rs
+++ b/crates/winch-standin/src/upstream_standin/order.rs
@@ -62,7 +62,8 @@
 }
 
 /// Load, as the load endpoint tells it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub(super) struct LoadReport {
     slots: u16,
     running: usize,
--- a/crates/winch-standin/src/upstream_standin/server.rs
+++ b/crates/winch-standin/src/upstream_standin/server.rs
@@ -30,7 +30,8 @@
 
 type Answer = Response<Vec<u8>>;
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct LedgerQuery {
     #[serde(default)]
     from: usize,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,5 +5,5 @@
 mod error_table;
 mod fold;
 mod settings;
-mod telemetry;
 mod standins;
+mod telemetry;
