--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,9 @@
 //! The integration test program: one module per feature.
 
+mod declarations;
+mod delivery;
 mod error_table;
 mod fold;
+mod settings;
+mod standins;
+mod telemetry;
