--- a/crates/winch-test-support/src/lib.rs
+++ b/crates/winch-test-support/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod classes;
 pub mod naive_scheduler;
 pub mod owner;
+pub mod records;
--- a/src/admission/load.rs
+++ b/src/admission/load.rs
@@ -20,7 +20,8 @@
 }
 
 /// How much of a class an owner takes.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClassRate {
     /// The class; 0 when the place is empty.
     pub class: ClassTag,
@@ -31,12 +32,23 @@
 }
 
 /// An owner's load, small enough to ride on every answer.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OwnerLoad {
     /// Requests that run.
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// Requests that may run at once.
+    pub limit: u16,
     /// What the owner takes of each class.
     pub rates: [ClassRate; MAX_RATES],
 }
+
+impl OwnerLoad {
+    /// Compares loads: running and waiting requests per thousand of the limit.
+    pub fn pressure(&self) -> u64 {
+        let busy = u64::from(self.running) + u64::from(self.waiting);
+        busy * 1000 / u64::from(self.limit.max(1))
+    }
+}
--- a/src/delivery/settings.rs
+++ b/src/delivery/settings.rs
@@ -14,7 +14,8 @@
 pub const OUTCOME_BYTES: usize = 32 * 1024 * 1024;
 
 /// Settings of the owner's side.
-#[derive(Debug, Clone, Builder)]
+#[derive(Debug, Clone)]
+#[derive(Builder)]
 pub struct OwnerSettings {
     /// This process, which makes order ids unique.
     pub incarnation: Incarnation,
--- a/src/upstream/announce.rs
+++ b/src/upstream/announce.rs
@@ -31,7 +31,8 @@
 const MAX_ANNOUNCEMENT: u64 = 16 * 1024;
 
 /// The body of an announcement.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct UpstreamAnnouncement {
     /// The service that the upstream serves.
--- a/src/upstream/service.rs
+++ b/src/upstream/service.rs
@@ -42,7 +42,8 @@
 }
 
 /// What an upstream's load probe tells; may lag or mislead.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct ProbedLoad {
     /// How many orders run.
     pub running: u32,
