delivery: admit orders by class, with adaptive limits, retries and rates

Cause: the owner admitted first come first served, however slow or loaded its upstream was, and a refused connection failed the order at once.

Change: one actor with a bounded mailbox owns the scheduler, a limit that follows sheds, losses and slowdown below the announced slots and ramps up after a cold start, and meters that tell entries what part of each class is taken. Orders proven not to have run, and lost ones of an idempotent class, are tried again from a budget; if any attempt may have run, the outcome stays unknown. Reserves leave one slot to everyone, since an upstream of one slot served nobody else. Load compares failing upstreams as busier ones.

One test's script was lengthened from one to four refused connections, because one is tried again now; its asserts are the same and one on the upstream's ledger was added.

Conclusion: limit and entry limiter have no tests of their own yet.

--- a/crates/winch-test-support/src/naive_scheduler.rs
+++ b/crates/winch-test-support/src/naive_scheduler.rs
@@ -237,7 +237,7 @@
             .map(|class| self.running(class))
             .sum();
         let own_reserve = self.limit > 0 && self.running(class) < reserve(class);
-        own_reserve || all + kept < self.limit
+        own_reserve || (self.limit > 0 && all + kept.min(self.limit - 1) < self.limit)
     }
 
     /// Slots in hundredths by rank and by share, and the work ahead by rank.
--- a/crates/winch-test-support/src/owner.rs
+++ b/crates/winch-test-support/src/owner.rs
@@ -11,6 +11,7 @@
 use buckthornwinch::base::error::ErrorKind;
 use buckthornwinch::base::ids::Epoch;
 use buckthornwinch::delivery::message::OrderRequest;
+use buckthornwinch::delivery::message::OrderResult;
 use buckthornwinch::delivery::message::UpstreamAnswer;
 use buckthornwinch::delivery::owner::OwnerService;
 use buckthornwinch::delivery::settings::OwnerSettings;
@@ -25,6 +26,10 @@
 use buckthornwinch::upstream::service::UpstreamOrder;
 use buckthornwinch::upstream::service::UpstreamService;
 use bytes::Bytes;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::classes::example_classes;
 
 /// A gate whose verdict the test sets.
 #[derive(Debug, Clone)]
@@ -182,7 +187,8 @@
         registry.subscribe(),
         settings,
     );
-    tokio::task::yield_now().await;
+    owner.set_classes(&example_classes());
+    tokio::time::sleep(Duration::from_millis(1)).await;
     OwnerFixture {
         gate,
         upstream,
@@ -191,6 +197,19 @@
     }
 }
 
+impl OwnerFixture {
+    /// Takes an order to its outcome.
+    pub async fn handle(&self, order: OrderRequest) -> OrderResult {
+        self.owner.handle(order, CancellationToken::new()).await
+    }
+
+    /// Takes an order to its outcome in the background.
+    pub fn spawn(&self, order: OrderRequest) -> JoinHandle<OrderResult> {
+        let owner = Arc::clone(&self.owner);
+        tokio::spawn(async move { owner.handle(order, CancellationToken::new()).await })
+    }
+}
+
 /// What a warm upstream announces.
 pub fn upstream_info(slots: u16) -> UpstreamInfo {
     UpstreamInfo {
--- a/src/admission/class_queue.rs
+++ b/src/admission/class_queue.rs
@@ -156,6 +156,16 @@
         removed.map(|(_, entry)| entry)
     }
 
+    /// Finds the requests whose payload meets a condition.
+    pub fn find(&self, condition: impl Fn(&T) -> bool) -> Vec<(CallerHash, TicketId)> {
+        self.callers
+            .iter()
+            .flat_map(|(caller, queue)| queue.entries.iter().map(move |entry| (*caller, entry)))
+            .filter(|(_, (_, entry))| condition(&entry.payload))
+            .map(|(caller, (ticket, _))| (caller, *ticket))
+            .collect()
+    }
+
     /// Removes every request, in order of arrival.
     pub fn drain(&mut self) -> Vec<(TicketId, WaitingEntry<T>)> {
         let former = std::mem::take(self);
--- a/src/admission/load.rs
+++ b/src/admission/load.rs
@@ -14,6 +14,10 @@
 /// The whole, of which [`ClassRate::admitted_permille`] is a part.
 pub const FULL_PERMILLE: u16 = 1000;
 
+/// An upstream that fails everything counts like one with so many requests to
+/// each slot.
+const FAILING_BURDEN: u64 = 20;
+
 /// Returns a class's tag.
 pub fn class_tag(name: &str) -> ClassTag {
     hash_key(name.as_bytes()) as ClassTag
@@ -39,6 +43,8 @@
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// The part of recent requests that the upstream failed, in thousandths.
+    pub failing_permille: u16,
     /// Requests that may run at once.
     pub limit: u16,
     /// What the owner takes of each class.
@@ -46,9 +52,13 @@
 }
 
 impl OwnerLoad {
-    /// Compares loads: running and waiting requests per thousand of the limit.
+    /// Compares loads: running and waiting requests per thousand of the limit,
+    /// and a burden for failing. An upstream that fails at once would seem idle
+    /// otherwise; as only the comparison counts, one that fails like all the
+    /// others is still used.
     pub fn pressure(&self) -> u64 {
         let busy = u64::from(self.running) + u64::from(self.waiting);
-        busy * 1000 / u64::from(self.limit.max(1))
+        let failing = u64::from(self.failing_permille) * FAILING_BURDEN;
+        busy * 1000 / u64::from(self.limit.max(1)) + failing
     }
 }
--- a/src/admission/scheduler.rs
+++ b/src/admission/scheduler.rs
@@ -170,6 +170,16 @@
         Some(entry.payload)
     }
 
+    /// Takes back every waiting request whose payload nobody waits for.
+    pub fn withdraw_abandoned(&mut self, is_abandoned: impl Fn(&T) -> bool) {
+        for queue in &mut self.queues {
+            for (caller, ticket) in queue.find(&is_abandoned) {
+                self.tickets.remove(&ticket);
+                queue.remove(caller, ticket);
+            }
+        }
+    }
+
     /// Takes the end of a request that ran for `held`.
     pub fn finish(&mut self, class: ClassIndex, held: Duration) {
         let state = &mut self.classes[class];
@@ -325,7 +335,8 @@
     }
 
     /// A class may use every slot but those reserved for others, and always
-    /// its own reserve, even above a lowered limit.
+    /// its own reserve, even above a lowered limit. One slot is reserved for
+    /// nobody, however low the limit.
     fn can_start(&self, class: ClassIndex) -> bool {
         let state = &self.classes[class];
         if state.running < u32::from(state.declaration.reserve) && self.limit > 0 {
@@ -338,7 +349,8 @@
             .filter(|(other, _)| *other != class)
             .map(|(_, other)| other.unused_reserve())
             .sum();
-        self.total_running() + reserved < self.limit
+        let kept = reserved.min(self.limit.saturating_sub(1));
+        self.total_running() + kept < self.limit
     }
 
     fn account_start(&mut self, class: ClassIndex) {
--- a/src/delivery/mod.rs
+++ b/src/delivery/mod.rs
@@ -4,8 +4,13 @@
 //! [`owner`] takes an order through its steps: gate, outcome table, admission,
 //! gate again, dispatch. [`running`] keeps a started order alive when its
 //! caller goes away, so that its outcome is never lost or misreported.
+//! [`failure`] holds the proof of each outcome that is not an answer, and
+//! [`retry`] decides what is tried again inside the system.
 
+pub mod classes;
+pub mod failure;
 pub mod message;
 pub mod owner;
+pub mod retry;
 pub mod running;
 pub mod settings;
--- a/src/delivery/owner.rs
+++ b/src/delivery/owner.rs
@@ -6,21 +6,36 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
-use super::message::OrderFailure;
+use super::classes::ClassFacts;
+use super::classes::ClassTable;
+use super::failure;
 use super::message::OrderRequest;
 use super::message::OrderResult;
+use super::message::UpstreamAnswer;
+use super::retry::RetryBudget;
+use super::retry::backoff;
 use super::running::RunningOrder;
 use super::settings::OwnerSettings;
+use crate::admission::actor::AdmissionQueue;
+use crate::admission::limit::SlotVerdict;
+use crate::admission::limit::UpstreamCapacity;
+use crate::admission::load::ClassTag;
 use crate::admission::load::OwnerLoad;
+use crate::admission::load::class_tag;
+use crate::admission::permit::SlotPermit;
 use crate::base::error::ErrorKind;
+use crate::base::error::RequestOutcome;
+use crate::base::hash::hash_key;
+use crate::base::timer::TimerService;
 use crate::declarations::ClassDeclaration;
 use crate::ownership::gate::OwnershipGate;
 use crate::state::record::UpstreamInfo;
@@ -30,8 +45,8 @@
 use crate::upstream::service::UpstreamOrder;
 use crate::upstream::service::UpstreamService;
 
-/// When to retry while the upstream is away.
-const ABSENT_RETRY: Duration = Duration::from_millis(500);
+/// The first HTTP status that tells of a server's fault.
+const SERVER_ERROR: u16 = 500;
 
 /// The owner's side of one process: everything between an order's arrival and
 /// its outcome.
@@ -41,29 +56,49 @@
     upstream: U,
     info: Arc<ArcSwapOption<UpstreamInfo>>,
     settings: OwnerSettings,
-    slots: Arc<Semaphore>,
-    running: watch::Sender<u32>,
+    queue: AdmissionQueue,
+    classes: ArcSwap<ClassTable>,
+    declared: watch::Sender<Arc<[ClassDeclaration]>>,
+    budget: RetryBudget,
+    orders: TaskTracker,
     draining: AtomicBool,
     next_order: AtomicU64,
 }
 
+/// One order on its way.
+#[derive(Debug, Clone)]
+struct OrderContext {
+    request: Arc<OrderRequest>,
+    class: ClassTag,
+    facts: ClassFacts,
+    deadline: Option<Instant>,
+}
+
+impl OrderContext {
+    fn remaining(&self) -> Option<Duration> {
+        self.deadline
+            .map(|deadline| deadline.saturating_duration_since(Instant::now()))
+    }
+}
+
 impl<G: OwnershipGate, U: UpstreamService> OwnerService<G, U> {
     /// Creates the service; it follows the upstream's announcements.
     pub fn new(gate: G, upstream: U, announced: UpstreamWatch, settings: OwnerSettings) -> Self {
         let info = Arc::new(ArcSwapOption::empty());
-        let slots = Arc::new(Semaphore::new(0));
-        tokio::spawn(follow_upstream(
-            announced,
-            Arc::clone(&info),
-            Arc::clone(&slots),
-        ));
+        let queue = AdmissionQueue::start(TimerService);
+        let (declared, declarations) = watch::channel(Arc::default());
+        tokio::spawn(follow_upstream(announced, Arc::clone(&info), queue.clone()));
+        tokio::spawn(follow_classes(declarations, queue.clone()));
         Self {
             gate,
             upstream,
             info,
             settings,
-            slots,
-            running: watch::Sender::new(0),
+            queue,
+            classes: ArcSwap::from_pointee(ClassTable::default()),
+            declared,
+            budget: RetryBudget::new(),
+            orders: TaskTracker::new(),
             draining: AtomicBool::new(false),
             next_order: AtomicU64::new(1),
         }
@@ -71,26 +106,25 @@
 
     /// Takes the declared priority classes.
     pub fn set_classes(&self, classes: &[ClassDeclaration]) {
-        let _ = classes;
+        self.classes.store(Arc::new(ClassTable::new(classes)));
+        self.declared.send_replace(classes.into());
     }
 
     /// Stops admitting; what was admitted goes on.
     pub fn drain(&self) {
+        log::info!("delivery: draining, nothing new is admitted");
         self.draining.store(true, Ordering::Release);
     }
 
     /// Waits until nothing runs or waits.
     pub async fn idle(&self) {
-        let mut running = self.running.subscribe();
-        let _closed = running.wait_for(|count| *count == 0).await.is_err();
+        self.orders.close();
+        self.orders.wait().await;
     }
 
     /// Returns a snapshot of the load.
     pub fn load(&self) -> OwnerLoad {
-        OwnerLoad {
-            running: *self.running.borrow(),
-            ..OwnerLoad::default()
-        }
+        self.queue.load()
     }
 
     /// Takes an order to its outcome.
@@ -102,76 +136,132 @@
     ///
     /// Returns the failure to tell the caller.
     pub async fn handle(&self, order: OrderRequest, cancelled: CancellationToken) -> OrderResult {
-        let deadline = order.remaining.map(|remaining| Instant::now() + remaining);
+        let _counted = self.orders.token();
+        let context = self.order_context(order);
+        let deadline = context.deadline;
         let started = AtomicBool::new(false);
-        self.running.send_modify(|count| *count += 1);
-        let result = tokio::select! {
-            result = self.run_steps(Arc::new(order), deadline, &started) => result,
-            () = cancelled.cancelled() => Err(cancelled_failure(&started)),
-            () = deadline_passed(deadline) => Err(expired_failure(&started)),
-        };
-        self.running.send_modify(|count| *count -= 1);
-        result
+        tokio::select! {
+            biased;
+            result = self.run_steps(context, &started) => result,
+            () = cancelled.cancelled() => Err(failure::cancelled(&started)),
+            () = deadline_passed(deadline) => Err(failure::expired(&started)),
+        }
     }
 
-    async fn run_steps(
-        &self,
-        order: Arc<OrderRequest>,
-        deadline: Option<Instant>,
-        started: &AtomicBool,
-    ) -> OrderResult {
+    fn order_context(&self, order: OrderRequest) -> OrderContext {
+        let class = class_tag(&order.class);
+        let facts = self.classes.load().facts(class);
+        let default = (!facts.deadline.is_zero()).then_some(facts.deadline);
+        let remaining = order.remaining.or(default);
+        OrderContext {
+            request: Arc::new(order),
+            class,
+            facts,
+            deadline: remaining.map(|remaining| Instant::now() + remaining),
+        }
+    }
+
+    async fn run_steps(&self, context: OrderContext, started: &AtomicBool) -> OrderResult {
         if self.draining.load(Ordering::Acquire) {
-            return Err(refusal(ErrorKind::Draining, "the process is leaving"));
+            return Err(failure::refusal(
+                ErrorKind::Draining,
+                "the process is leaving",
+            ));
+        }
+        self.gate
+            .admit(&context.request.chain)
+            .map_err(failure::gate_refusal)?;
+        self.budget.deposit();
+        self.run_attempts(&context, started).await
+    }
+
+    /// Runs an order, and again as far as that is safe and within the budget.
+    async fn run_attempts(&self, context: &OrderContext, started: &AtomicBool) -> OrderResult {
+        let mut retries = 0;
+        let mut unknown = None;
+        loop {
+            let result = self.run_once(context, started).await;
+            let Err(failed) = result else {
+                return result;
+            };
+            let wait = self.retry_wait(context, failed.kind, retries);
+            if failed.kind.answer().outcome == RequestOutcome::Unknown {
+                unknown = Some(failed.clone());
+            }
+            let Some(wait) = wait else {
+                // One attempt that may have run outweighs any that did not.
+                return Err(unknown.unwrap_or(failed));
+            };
+            retries += 1;
+            sleep(wait).await;
         }
-        self.check_gate(&order)?;
-        let permit = self.admit().await?;
-        self.dispatch(order, deadline, permit, started).await
     }
 
-    fn check_gate(&self, order: &OrderRequest) -> Result<(), OrderFailure> {
-        match self.gate.admit(&order.chain) {
-            Ok(_) => Ok(()),
-            Err(kind) => Err(refusal(kind, "this process may not serve the key")),
+    /// Returns how long to wait before a retry; none if there is to be none.
+    fn retry_wait(
+        &self,
+        context: &OrderContext,
+        kind: ErrorKind,
+        retries: u32,
+    ) -> Option<Duration> {
+        let not_run = kind == ErrorKind::UpstreamRefused;
+        let unknown = kind.answer().outcome == RequestOutcome::Unknown;
+        let safe = not_run || (unknown && context.facts.idempotent);
+        if !safe {
+            return None;
         }
+        let seed = self.next_order.load(Ordering::Relaxed);
+        let wait = backoff(retries, seed, context.remaining())?;
+        self.budget.withdraw().then_some(wait)
     }
 
-    async fn admit(&self) -> Result<OwnedSemaphorePermit, OrderFailure> {
-        Arc::clone(&self.slots)
-            .acquire_owned()
+    async fn run_once(&self, context: &OrderContext, started: &AtomicBool) -> OrderResult {
+        let caller = hash_key(context.request.caller.as_bytes());
+        let permit = self
+            .queue
+            .admit(context.class, caller, context.deadline)
             .await
-            .map_err(|_closed| refusal(ErrorKind::Draining, "the process is leaving"))
+            .map_err(failure::slot_refusal)?;
+        self.dispatch(context, permit, started).await
     }
 
     async fn dispatch(
         &self,
-        request: Arc<OrderRequest>,
-        deadline: Option<Instant>,
-        permit: OwnedSemaphorePermit,
+        context: &OrderContext,
+        mut permit: SlotPermit,
         started: &AtomicBool,
     ) -> OrderResult {
         let Some(info) = self.info.load_full() else {
-            return Err(refusal(ErrorKind::Draining, "the upstream is leaving"));
+            return Err(failure::refusal(
+                ErrorKind::Draining,
+                "the upstream is leaving",
+            ));
         };
         let longest = info.longest_order;
         let id = self.next_order_id();
         // The gate's last check: nothing between it and the dispatch waits.
         let token = self
             .gate
-            .admit(&request.chain)
-            .map_err(|kind| refusal(kind, "this process may not serve the key"))?;
+            .admit(&context.request.chain)
+            .map_err(failure::gate_refusal)?;
         let order = UpstreamOrder {
             info: Arc::clone(&info),
-            request,
+            request: Arc::clone(&context.request),
             token,
             id: id.clone(),
-            remaining: deadline.map(|deadline| deadline.duration_since(Instant::now())),
+            remaining: context.remaining(),
         };
-        started.store(true, Ordering::Release);
+        // Set before the dispatch and, unless the order is proven not to have
+        // run, never unset: an idempotent order that was lost stays started.
+        let before = started.swap(true, Ordering::AcqRel);
         let upstream = self.upstream.clone();
         let call = self.upstream.run(order);
+        let counted = self.orders.token();
+        permit.begin();
         let run = async move {
             let result = call.await;
-            drop(permit);
+            permit.finish(slot_verdict(&result));
+            drop(counted);
             result
         };
         let cancel = move || async move {
@@ -180,7 +270,10 @@
             }
         };
         let result = RunningOrder::new(run, cancel, longest).await;
-        result.map_err(call_failure)
+        if let Err(CallError::NotSent | CallError::Refused) = result {
+            started.store(before, Ordering::Release);
+        }
+        result.map_err(failure::call_failure)
     }
 
     fn next_order_id(&self) -> Box<str> {
@@ -189,81 +282,48 @@
     }
 }
 
+fn slot_verdict(result: &Result<UpstreamAnswer, CallError>) -> SlotVerdict {
+    match result {
+        Ok(answer) if answer.status >= SERVER_ERROR => SlotVerdict::Failed,
+        Ok(_) => SlotVerdict::Answered,
+        Err(CallError::Refused | CallError::NotSent) => SlotVerdict::Shed,
+        Err(CallError::Lost | CallError::Truncated) => SlotVerdict::Lost,
+    }
+}
+
 async fn follow_upstream(
     mut announced: UpstreamWatch,
     info: Arc<ArcSwapOption<UpstreamInfo>>,
-    slots: Arc<Semaphore>,
+    queue: AdmissionQueue,
 ) {
-    let mut granted = 0;
     loop {
         let current = announced.borrow_and_update().clone();
-        let wanted = current.as_ref().map_or(0, |info| usize::from(info.slots));
+        let capacity = current.as_deref().map(|info| UpstreamCapacity {
+            slots: u32::from(info.slots),
+            connections: u32::from(info.connections),
+            cold_start: info.cold_start,
+        });
         info.store(current);
-        if wanted > granted {
-            slots.add_permits(wanted - granted);
-        } else {
-            slots.forget_permits(granted - wanted);
-        }
-        granted = wanted;
+        queue.set_capacity(capacity).await;
         if announced.changed().await.is_err() {
             return;
         }
     }
 }
 
+async fn follow_classes(
+    mut declarations: watch::Receiver<Arc<[ClassDeclaration]>>,
+    queue: AdmissionQueue,
+) {
+    while declarations.changed().await.is_ok() {
+        let classes = declarations.borrow_and_update().to_vec();
+        queue.set_classes(classes).await;
+    }
+}
+
 async fn deadline_passed(deadline: Option<Instant>) {
     match deadline {
         Some(deadline) => sleep_until(deadline).await,
         None => std::future::pending().await,
     }
 }
-
-fn refusal(kind: ErrorKind, detail: &str) -> OrderFailure {
-    OrderFailure {
-        kind,
-        retry_after: kind.answer().retry_hint.then_some(ABSENT_RETRY),
-        detail: detail.into(),
-    }
-}
-
-/// Proof of "not run": no dispatch was begun, and dropping the steps ends them.
-fn cancelled_failure(started: &AtomicBool) -> OrderFailure {
-    if started.load(Ordering::Acquire) {
-        return OrderFailure::new(ErrorKind::ConnectionLost, "cancelled after it was started");
-    }
-    OrderFailure::new(ErrorKind::Cancelled, "cancelled before it was started")
-}
-
-/// Proof of "not run": no dispatch was begun, and dropping the steps ends them.
-fn expired_failure(started: &AtomicBool) -> OrderFailure {
-    if started.load(Ordering::Acquire) {
-        return OrderFailure::new(
-            ErrorKind::DeadlineAfterStart,
-            "the deadline passed after the request was started",
-        );
-    }
-    OrderFailure::new(
-        ErrorKind::DeadlineBeforeStart,
-        "the deadline passed before the request was started",
-    )
-}
-
-fn call_failure(error: CallError) -> OrderFailure {
-    match error {
-        // Proof of "not run": no connection was made, so no byte was sent.
-        CallError::NotSent => refusal(
-            ErrorKind::UpstreamRefused,
-            "the upstream took no connection",
-        ),
-        // Proof of "not run": the upstream said so itself.
-        CallError::Refused => refusal(ErrorKind::UpstreamRefused, "the upstream refused"),
-        CallError::Lost => OrderFailure::new(
-            ErrorKind::UpstreamFailed,
-            "the upstream failed after the request was sent",
-        ),
-        CallError::Truncated => OrderFailure::new(
-            ErrorKind::AnswerTruncated,
-            "the upstream's answer was cut off",
-        ),
-    }
-}
--- a/tests/testsuite/delivery.rs
+++ b/tests/testsuite/delivery.rs
@@ -15,10 +15,7 @@
 async fn an_order_is_answered_by_the_upstream() {
     let fixture = owner_fixture(2, FakeReply::Answer(SERVICE_TIME)).await;
 
-    let result = fixture
-        .owner
-        .handle(order("lookup", "/a"), CancellationToken::new())
-        .await;
+    let result = fixture.handle(order("lookups", "/a")).await;
 
     assert_eq!(result.unwrap().body, "run 1");
 }
@@ -28,10 +25,7 @@
     let fixture = owner_fixture(2, FakeReply::Answer(SERVICE_TIME)).await;
     fixture.gate.set(Err(ErrorKind::LeaseLapsed));
 
-    let result = fixture
-        .owner
-        .handle(order("lookup", "/a"), CancellationToken::new())
-        .await;
+    let result = fixture.handle(order("lookups", "/a")).await;
 
     assert_eq!(result.unwrap_err().kind, ErrorKind::LeaseLapsed);
     assert!(fixture.upstream.ledger().started.is_empty());
@@ -43,15 +37,12 @@
     let cancelled = CancellationToken::new();
     let owner = Arc::clone(&fixture.owner);
     let token = cancelled.clone();
-    let first = tokio::spawn(async move { owner.handle(order("lookup", "/a"), token).await });
+    let first = tokio::spawn(async move { owner.handle(order("lookups", "/a"), token).await });
     tokio::time::sleep(SERVICE_TIME / 2).await;
 
     cancelled.cancel();
     let first_result = first.await.unwrap();
-    let second_result = fixture
-        .owner
-        .handle(order("lookup", "/b"), CancellationToken::new())
-        .await;
+    let second_result = fixture.handle(order("lookups", "/b")).await;
 
     assert_eq!(first_result.unwrap_err().kind, ErrorKind::ConnectionLost);
     assert_eq!(second_result.unwrap().body, "run 2");
@@ -63,18 +54,10 @@
 #[tokio::test(start_paused = true)]
 async fn a_deadline_tells_whether_the_order_had_started() {
     let fixture = owner_fixture(1, FakeReply::Answer(Duration::from_secs(5))).await;
-    let owner = Arc::clone(&fixture.owner);
-    let first = tokio::spawn(async move {
-        owner
-            .handle(order("lookup", "/a"), CancellationToken::new())
-            .await
-    });
+    let first = fixture.spawn(order("orders", "/a"));
     tokio::time::sleep(SERVICE_TIME).await;
 
-    let second_result = fixture
-        .owner
-        .handle(order("lookup", "/b"), CancellationToken::new())
-        .await;
+    let second_result = fixture.handle(order("orders", "/b")).await;
     let first_result = first.await.unwrap();
 
     assert_eq!(
@@ -89,19 +72,96 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_refused_connection_is_not_run_and_a_lost_one_is_unknown() {
+async fn refused_connections_are_not_run_and_a_lost_one_is_unknown() {
     let fixture = owner_fixture(1, FakeReply::Lose(SERVICE_TIME)).await;
-    fixture.upstream.script(&[FakeReply::NoConnection]);
+    fixture.upstream.script(&[FakeReply::NoConnection; 4]);
 
-    let refused = fixture
-        .owner
-        .handle(order("lookup", "/a"), CancellationToken::new())
-        .await;
-    let lost = fixture
-        .owner
-        .handle(order("lookup", "/b"), CancellationToken::new())
-        .await;
+    let refused = fixture.handle(order("orders", "/a")).await;
+    let lost = fixture.handle(order("orders", "/b")).await;
 
     assert_eq!(refused.unwrap_err().kind, ErrorKind::UpstreamRefused);
     assert_eq!(lost.unwrap_err().kind, ErrorKind::UpstreamFailed);
+    assert_eq!(fixture.upstream.ledger().started, vec!["/b".into()]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_order_proven_not_to_have_run_is_tried_again() {
+    let fixture = owner_fixture(1, FakeReply::Answer(SERVICE_TIME)).await;
+    fixture
+        .upstream
+        .script(&[FakeReply::Refuse, FakeReply::NoConnection]);
+
+    let result = fixture.handle(order("orders", "/a")).await;
+
+    assert_eq!(result.unwrap().body, "run 1");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_order_is_tried_again_only_if_its_class_is_idempotent() {
+    let fixture = owner_fixture(1, FakeReply::Answer(SERVICE_TIME)).await;
+    fixture
+        .upstream
+        .script(&[FakeReply::Lose(SERVICE_TIME), FakeReply::Lose(SERVICE_TIME)]);
+
+    let lost_order = fixture.handle(order("orders", "/a")).await;
+    let lost_lookup = fixture.handle(order("lookups", "/b")).await;
+
+    assert_eq!(lost_order.unwrap_err().kind, ErrorKind::UpstreamFailed);
+    assert_eq!(lost_lookup.unwrap().body, "run 3");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_refused_retry_does_not_make_a_lost_attempt_not_run() {
+    let fixture = owner_fixture(1, FakeReply::Refuse).await;
+    fixture.upstream.script(&[FakeReply::Lose(SERVICE_TIME)]);
+
+    let result = fixture.handle(order("lookups", "/a")).await;
+
+    assert_eq!(result.unwrap_err().kind, ErrorKind::UpstreamFailed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn retries_stay_within_the_budget() {
+    let fixture = owner_fixture(1, FakeReply::Lose(Duration::from_millis(1))).await;
+
+    for _ in 0..200 {
+        fixture.handle(order("lookups", "/a")).await.unwrap_err();
+    }
+
+    // 50 saved up, and one for every ten requests.
+    let retries = fixture.upstream.ledger().started.len() - 200;
+    assert!((50..=70).contains(&retries), "{retries}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_upstream_that_leaves_gets_nothing_new_and_finishes_the_rest() {
+    let fixture = owner_fixture(1, FakeReply::Answer(SERVICE_TIME)).await;
+    let running = fixture.spawn(order("lookups", "/running"));
+    tokio::time::sleep(SERVICE_TIME / 4).await;
+    let waiting = fixture.spawn(order("lookups", "/waiting"));
+    tokio::time::sleep(SERVICE_TIME / 4).await;
+
+    fixture.registry.leave();
+    let waiting_result = waiting.await.unwrap();
+    let running_result = running.await.unwrap();
+
+    assert_eq!(running_result.unwrap().body, "run 1");
+    assert_eq!(waiting_result.unwrap_err().kind, ErrorKind::Draining);
+    assert_eq!(fixture.upstream.ledger().started, vec!["/running".into()]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_drain_finishes_what_was_admitted() {
+    let fixture = owner_fixture(1, FakeReply::Answer(SERVICE_TIME)).await;
+    let running = fixture.spawn(order("lookups", "/running"));
+    let waiting = fixture.spawn(order("lookups", "/waiting"));
+    tokio::time::sleep(SERVICE_TIME / 2).await;
+
+    fixture.owner.drain();
+    let late = fixture.handle(order("lookups", "/late")).await;
+    fixture.owner.idle().await;
+
+    assert!(running.is_finished() && waiting.is_finished());
+    assert_eq!(late.unwrap_err().kind, ErrorKind::Draining);
+    assert_eq!(fixture.upstream.ledger().ended.len(), 2);
 }
