--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! * [`base`]: identifiers, hashing, time and the closed list of error kinds.
 //! * [`declarations`]: what operators declare.
+//! * [`handover`]: planned moves of chains.
 //! * [`log`]: the client of the platform's log.
 //! * [`state`]: the records of the log and the state folded from them.
 //! * [`ownership`]: leases, witnesses, certificates and succession.
@@ -29,6 +30,7 @@
 pub mod declarations;
 pub mod delivery;
 pub mod entry;
+pub mod handover;
 pub mod log;
 pub mod node;
 pub mod operator;
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -8,8 +8,10 @@
 //! node names, so that a node that returns ranks as before. [`balance`] keeps
 //! current owners and moves the fewest slices that bring every member within
 //! its bounds. [`witnesses`] spreads witnesses over failure domains.
-//! [`candidate`] decides when a process claims the term.
+//! [`candidate`] decides when a process claims the term, and [`actor`] runs all
+//! of it.
 
+pub mod actor;
 pub mod balance;
 pub mod candidate;
 pub mod placement;
--- a/src/state/fold.rs
+++ b/src/state/fold.rs
@@ -133,7 +133,9 @@
         if self.state.ended.contains(info.incarnation) {
             return Err(IgnoreReason::IncarnationEnded);
         }
-        for older in self.older_than(info) {
+        let older = self.older_than(info);
+        let claims = self.chains_to_claim(&older, info);
+        for older in older {
             self.end(older);
         }
         if let Some(member) = self.state.members.get_mut(&info.incarnation) {
@@ -149,6 +151,7 @@
             sequence: self.sequence,
         };
         self.state.members.insert(info.incarnation, member);
+        self.claim_back(&claims, info.incarnation);
         Ok(FoldEffect::Accepted)
     }
 
--- a/src/state/fold_chain.rs
+++ b/src/state/fold_chain.rs
@@ -15,6 +15,7 @@
 use super::record::ChainAppend;
 use super::record::ChainKey;
 use super::record::ChainSubject;
+use super::record::MemberInfo;
 use crate::base::hash::slice_of;
 use crate::base::ids::Epoch;
 use crate::base::ids::Incarnation;
@@ -39,6 +40,17 @@
             .map(|(epoch, entry)| (epoch, entry.holder))
     }
 
+    /// Returns who is to serve a chain once a planned move has ended: the first
+    /// position at or after the target that has not been passed, or the
+    /// serving one.
+    pub fn intended(&self, chain: &HolderChain) -> Option<(Epoch, Incarnation)> {
+        (chain.base..)
+            .zip(&chain.entries)
+            .find(|(epoch, entry)| *epoch >= chain.target && !self.is_passed(entry))
+            .map(|(epoch, entry)| (epoch, entry.holder))
+            .or_else(|| self.serving(chain))
+    }
+
     /// Returns the number of slices of a declared service; none unless it is a
     /// power of two.
     pub fn slices_of(&self, service: &str) -> Option<u16> {
@@ -141,6 +153,45 @@
         Ok(())
     }
 
+    /// Returns the chains that a node's earlier incarnations were to serve,
+    /// for its new one to claim.
+    ///
+    /// The claim is part of the join, so that a restarted node gets its chains
+    /// back without a planner, and a fleet that lost power together keeps its
+    /// assignment. The successors serve until the new incarnation is ready.
+    pub(super) fn chains_to_claim(
+        &self,
+        older: &[Incarnation],
+        info: &MemberInfo,
+    ) -> Vec<ChainKey> {
+        if older.is_empty() {
+            return Vec::new();
+        }
+        let chains = self.state.chains.iter();
+        chains
+            .filter(|(key, _chain)| key.service == info.upstream.service)
+            .filter(|(_key, chain)| {
+                let intended = self.state.intended(chain);
+                intended.is_some_and(|(_epoch, holder)| older.contains(&holder))
+            })
+            .map(|(key, _chain)| key.clone())
+            .collect()
+    }
+
+    /// Appends the new incarnation to the chains that it claims, as a planned
+    /// move.
+    pub(super) fn claim_back(&mut self, claims: &[ChainKey], holder: Incarnation) {
+        for key in claims {
+            if let Some(chain) = self.state.chains.get_mut(key) {
+                chain.target = chain.tail();
+                chain.entries.push(ChainEntry {
+                    holder,
+                    resigned: false,
+                });
+            }
+        }
+    }
+
     fn may_hold(&self, holder: Incarnation) -> bool {
         self.state
             .members
