ownership: add leases, witnesses, certificates and succession as state machines

Cause: who may serve a chain has to be decided within a second of a loss, also while the log is down, and never by two processes at once.

Change: pure machines for the holder's own lease, for the leases that a process witnesses, for statements and certificates, and for the chains that may be served; one machine joins them. Time is an argument, messages and decisions are returned. LeaseGate implements the last check before a dispatch on one atomic load.

Contract files: WitnessSet and LapseCertificate derive Hash.

--- a/crates/winch-test-support/src/lib.rs
+++ b/crates/winch-test-support/src/lib.rs
@@ -1,3 +1,4 @@
 //! Fixture builders shared by the test programs.
 
+pub mod fleet;
 pub mod records;
--- a/src/state/folded.rs
+++ b/src/state/folded.rs
@@ -52,7 +52,7 @@
 }
 
 /// A member's witnesses.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct WitnessSet {
     /// Version; 0 before the planner named any.
     pub version: Version,
--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -123,7 +123,7 @@
 }
 
 /// Two witnesses' statement that an incarnation's lease has ended.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LapseCertificate {
     /// Whose lease ended.
     pub subject: Incarnation,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,3 +2,7 @@
 
 mod error_table;
 mod fold;
+mod ownership_certificate;
+mod ownership_gate;
+mod ownership_lease;
+mod ownership_succession;
