--- a/src/state/folded.rs
+++ b/src/state/folded.rs
@@ -54,7 +54,7 @@
 }
 
 /// A member's witnesses.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct WitnessSet {
     /// Version; 0 before the planner named any.
