--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The integration test program: one module per feature.
 
+mod admission_scheduler;
 mod declarations;
 mod delivery;
 mod error_table;
