bench: add the fleet, the load, the checks and steady

Processes are started beside the program's own path, signalled by id and ended with their handle; ledgers are read from files, because upstreams get killed. The load is an open loop: latency counts from the moment at which a request was due. The naive router is the baseline of the flood and order experiments.

--- /dev/null
+++ b/crates/winch-bench/src/commands/list.rs
@@ -0,0 +1,18 @@
+//! `winch-bench list`.
+
+use std::process::ExitCode;
+
+use clap::Args;
+use winch_bench::experiments::ExperimentName;
+
+/// Arguments of `list`.
+#[derive(Debug, Args)]
+pub struct ListArgs;
+
+/// Names the experiments.
+pub fn exec(_args: &ListArgs) -> ExitCode {
+    for name in ExperimentName::ALL {
+        println!("{:20} {}", name.as_str(), name.summary());
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/winch-bench/src/commands/mod.rs
@@ -0,0 +1,4 @@
+//! The subcommands, one module each.
+
+pub mod list;
+pub mod run;
--- /dev/null
+++ b/crates/winch-bench/src/fleet/harness.rs
@@ -0,0 +1,459 @@
+//! A whole deployment: one log, and a `winchd` beside each upstream.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bon::Builder;
+use eyre::WrapErr;
+use eyre::bail;
+use eyre::eyre;
+use reqwest::Client;
+use tempfile::TempDir;
+use tokio::process::Command;
+use tokio::time::Instant;
+use winch_standin::log_standin::LogFaults;
+use winch_standin::log_standin::LogStats;
+use winch_standin::upstream_standin::LedgerEntry;
+use winch_standin::upstream_standin::UpstreamFaults;
+use winch_standin::upstream_standin::read_ledger_file;
+
+use super::deployment::DeploymentSize;
+use super::deployment::SERVICE_TIME;
+use super::deployment::ServiceSize;
+use super::ports::free_address;
+use super::process::ChildProcess;
+use super::process::ProcessCommand;
+use super::process::sibling_program;
+use super::settings::LogAddress;
+use super::settings::NodeAddresses;
+use super::settings::NodeLogging;
+use super::settings::NodeSettingsFile;
+
+const READY_LIMIT: Duration = Duration::from_secs(30);
+const READY_POLL: Duration = Duration::from_millis(50);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How a fleet differs from its deployment's defaults.
+#[derive(Debug, Clone, Builder)]
+pub struct FleetOptions {
+    /// The deployment.
+    pub deployment: DeploymentSize,
+    /// Directory of the deployment's declarations.
+    pub declarations: PathBuf,
+    /// Time that an order takes.
+    #[builder(default = SERVICE_TIME)]
+    pub service_time: Duration,
+    /// Largest random time added to that.
+    #[builder(default = Duration::ZERO)]
+    pub service_jitter: Duration,
+    /// Time after an upstream's start during which its orders run slower.
+    #[builder(default = Duration::ZERO)]
+    pub cold_start: Duration,
+    /// Longest time of one order, as upstreams announce it.
+    #[builder(default = Duration::from_millis(300))]
+    pub longest_order: Duration,
+    /// Whether upstreams check fences.
+    #[builder(default = true)]
+    pub checks_fence: bool,
+    /// Slots of each upstream; the deployment's if none.
+    pub slots: Option<u16>,
+    /// Appends that the log takes in a second.
+    #[builder(default = 400)]
+    pub log_rate: u32,
+    /// Level of the nodes' logs.
+    #[builder(default = "info")]
+    pub log_level: &'static str,
+}
+
+/// A `winchd` and the upstream beside it.
+#[derive(Debug)]
+pub struct FleetNode {
+    /// Name of the node.
+    pub name: Box<str>,
+    /// Its failure domain.
+    pub domain: &'static str,
+    /// Its upstream's service.
+    pub service: ServiceSize,
+    /// Where the `winchd` listens.
+    pub addresses: NodeAddresses,
+    /// Where the upstream listens.
+    pub upstream_address: SocketAddr,
+    /// The `winchd`.
+    pub winchd: ChildProcess,
+    /// The upstream.
+    pub upstream: ChildProcess,
+    /// Files of the upstream's ledgers, one for each start.
+    ledger_files: Vec<PathBuf>,
+    directory: PathBuf,
+    options: FleetOptions,
+}
+
+/// The processes of a deployment. They end when this is dropped.
+#[derive(Debug)]
+pub struct FleetHarness {
+    /// The nodes.
+    pub nodes: Vec<FleetNode>,
+    /// The log.
+    pub log: ChildProcess,
+    /// Where the log listens.
+    pub log_address: SocketAddr,
+    client: Client,
+    options: FleetOptions,
+    directory: TempDir,
+}
+
+impl FleetHarness {
+    /// Starts a fleet, applies the declarations, and waits until every node is
+    /// ready.
+    ///
+    /// # Errors
+    ///
+    /// When a process cannot be started or does not get ready in time.
+    pub async fn start(options: FleetOptions) -> eyre::Result<Self> {
+        let directory = tempfile::tempdir().wrap_err("cannot make a directory")?;
+        let log_address = free_address()?;
+        let log = start_log(directory.path(), log_address, options.log_rate)?;
+        let client = Client::builder()
+            .no_proxy()
+            .timeout(CALL_TIMEOUT)
+            .build()
+            .wrap_err("cannot build a client")?;
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            log,
+            log_address,
+            client,
+            options,
+            directory,
+        };
+        fleet
+            .wait_for(&format!("http://{log_address}/stats"))
+            .await?;
+        fleet.start_nodes()?;
+        fleet.wait_until_ready().await?;
+        fleet.apply_declarations().await?;
+        Ok(fleet)
+    }
+
+    fn start_nodes(&mut self) -> eyre::Result<()> {
+        let deployment = self.options.deployment.clone();
+        let mut plans = Vec::new();
+        for service in &deployment.services {
+            for number in 1..=service.endpoints {
+                plans.push((format!("{}-{number}", service.name), service));
+            }
+        }
+        let addresses: Vec<NodeAddresses> = plans
+            .iter()
+            .map(|_| node_addresses())
+            .collect::<eyre::Result<_>>()?;
+        for (index, (name, service)) in plans.into_iter().enumerate() {
+            let domain = deployment.domains[index % deployment.domains.len()];
+            let peers = addresses
+                .iter()
+                .map(|other| other.peers)
+                .filter(|peer| *peer != addresses[index].peers)
+                .collect();
+            let settings = NodeSettingsFile {
+                node: name.clone().into(),
+                region: deployment.region.into(),
+                failure_domain: domain.into(),
+                addresses: addresses[index],
+                peers,
+                log: LogAddress {
+                    address: format!("http://{}", self.log_address).into(),
+                },
+                logging: NodeLogging {
+                    level: self.options.log_level,
+                },
+            };
+            let node = self.start_node(&settings, domain, service)?;
+            self.nodes.push(node);
+        }
+        Ok(())
+    }
+
+    fn start_node(
+        &self,
+        settings: &NodeSettingsFile,
+        domain: &'static str,
+        service: &ServiceSize,
+    ) -> eyre::Result<FleetNode> {
+        let directory = self.directory.path();
+        let settings_path = directory.join(format!("{}.yaml", settings.node));
+        settings.write(&settings_path)?;
+        let winchd = ChildProcess::start(ProcessCommand {
+            name: format!("winchd-{}", settings.node).into(),
+            program: sibling_program("winchd")?,
+            arguments: vec!["run".into(), settings_path.into()],
+            output_directory: directory.to_owned(),
+        })?;
+        let upstream_address = free_address()?;
+        let ledger_file = directory.join(format!("ledger-{}-0", settings.node));
+        let upstream = ChildProcess::start(ProcessCommand {
+            name: format!("upstream-{}", settings.node).into(),
+            program: sibling_program("winch-standin")?,
+            arguments: upstream_arguments(
+                &self.options,
+                service,
+                upstream_address,
+                settings.addresses.local,
+                &ledger_file,
+            ),
+            output_directory: directory.to_owned(),
+        })?;
+        Ok(FleetNode {
+            name: settings.node.clone(),
+            domain,
+            service: service.clone(),
+            addresses: settings.addresses,
+            upstream_address,
+            winchd,
+            upstream,
+            ledger_files: vec![ledger_file],
+            directory: directory.to_owned(),
+            options: self.options.clone(),
+        })
+    }
+
+    /// Waits until every node says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// When one does not in time.
+    pub async fn wait_until_ready(&self) -> eyre::Result<()> {
+        for node in &self.nodes {
+            let url = format!("http://{}/readyz", node.addresses.local);
+            self.wait_for(&url).await?;
+        }
+        Ok(())
+    }
+
+    async fn wait_for(&self, url: &str) -> eyre::Result<()> {
+        let deadline = Instant::now() + READY_LIMIT;
+        while Instant::now() < deadline {
+            let answer = self.client.get(url).send().await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+        bail!(
+            "{url} is not ready after {READY_LIMIT:?}; {}",
+            self.tail_of_logs()
+        )
+    }
+
+    /// Returns the last line that each `winchd` wrote.
+    fn tail_of_logs(&self) -> String {
+        let mut text = String::from("last lines:");
+        for node in &self.nodes {
+            let path = self
+                .directory
+                .path()
+                .join(format!("winchd-{}-0.log", node.name));
+            let log = std::fs::read_to_string(path).unwrap_or_default();
+            text.push_str("\n  ");
+            text.push_str(&node.name);
+            text.push_str(": ");
+            text.push_str(log.lines().last().unwrap_or("(nothing)"));
+        }
+        text
+    }
+
+    /// Applies the deployment's declarations with `winchctl`.
+    async fn apply_declarations(&self) -> eyre::Result<()> {
+        let node = self
+            .nodes
+            .first()
+            .ok_or_else(|| eyre!("the fleet is empty"))?;
+        let output = Command::new(sibling_program("winchctl")?)
+            .arg("apply")
+            .arg("--server")
+            .arg(node.addresses.operators.to_string())
+            .arg(&self.options.declarations)
+            .output()
+            .await
+            .wrap_err("cannot run winchctl")?;
+        if !output.status.success() {
+            bail!(
+                "winchctl apply ended with {}: {}{}",
+                output.status,
+                String::from_utf8_lossy(&output.stdout),
+                String::from_utf8_lossy(&output.stderr)
+            );
+        }
+        Ok(())
+    }
+
+    /// Returns the callers' addresses of every node.
+    pub fn entries(&self) -> Arc<[SocketAddr]> {
+        self.entries_except(usize::MAX)
+    }
+
+    /// Returns the callers' addresses of every node but one.
+    pub fn entries_except(&self, excluded: usize) -> Arc<[SocketAddr]> {
+        self.nodes
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index != excluded)
+            .map(|(_, node)| node.addresses.callers)
+            .collect()
+    }
+
+    /// Returns the indexes of a service's nodes.
+    pub fn nodes_of(&self, service: &str) -> Vec<usize> {
+        self.nodes
+            .iter()
+            .enumerate()
+            .filter(|(_, node)| node.service.name == service)
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    /// Reads the ledger of every start of every upstream.
+    ///
+    /// # Errors
+    ///
+    /// When a ledger's file cannot be read.
+    pub fn ledgers(&self) -> eyre::Result<Vec<Vec<LedgerEntry>>> {
+        self.nodes
+            .iter()
+            .flat_map(|node| &node.ledger_files)
+            .map(|file| read_ledger_file(file))
+            .collect()
+    }
+
+    /// Switches faults of the log.
+    ///
+    /// # Errors
+    ///
+    /// When the log does not answer.
+    pub async fn set_log_faults(&self, faults: &LogFaults) -> eyre::Result<()> {
+        let url = format!("http://{}/faults", self.log_address);
+        self.client.post(url).json(faults).send().await?;
+        Ok(())
+    }
+
+    /// Returns what the log has done so far.
+    ///
+    /// # Errors
+    ///
+    /// When the log does not answer.
+    pub async fn log_stats(&self) -> eyre::Result<LogStats> {
+        let url = format!("http://{}/stats", self.log_address);
+        Ok(self.client.get(url).send().await?.json().await?)
+    }
+
+    /// Switches faults of a node's upstream.
+    ///
+    /// # Errors
+    ///
+    /// When the upstream does not answer.
+    pub async fn set_upstream_faults(
+        &self,
+        node: usize,
+        faults: &UpstreamFaults,
+    ) -> eyre::Result<()> {
+        let url = format!("http://{}/faults", self.nodes[node].upstream_address);
+        self.client.post(url).json(faults).send().await?;
+        Ok(())
+    }
+
+    /// Returns where the processes write, for a look at their logs.
+    pub fn directory(&self) -> &Path {
+        self.directory.path()
+    }
+
+    /// Keeps the directory with logs and ledgers when the fleet ends.
+    pub fn keep_directory(&mut self) {
+        self.directory.disable_cleanup(true);
+    }
+}
+
+impl FleetNode {
+    /// Starts the upstream again after it has ended, with a ledger of its own.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be started.
+    pub fn restart_upstream(&mut self) -> eyre::Result<()> {
+        let number = self.ledger_files.len();
+        let file_name = format!("ledger-{}-{number}", self.name);
+        let ledger_file = self.directory.join(file_name);
+        self.upstream.command_mut().arguments = upstream_arguments(
+            &self.options,
+            &self.service,
+            self.upstream_address,
+            self.addresses.local,
+            &ledger_file,
+        );
+        self.ledger_files.push(ledger_file);
+        self.upstream.restart()
+    }
+}
+
+fn node_addresses() -> eyre::Result<NodeAddresses> {
+    Ok(NodeAddresses {
+        callers: free_address()?,
+        peers: free_address()?,
+        operators: free_address()?,
+        local: free_address()?,
+    })
+}
+
+fn start_log(directory: &Path, address: SocketAddr, rate: u32) -> eyre::Result<ChildProcess> {
+    ChildProcess::start(ProcessCommand {
+        name: "log".into(),
+        program: sibling_program("winch-standin")?,
+        arguments: vec![
+            "log".into(),
+            "--listen".into(),
+            address.to_string().into(),
+            "--rate".into(),
+            rate.to_string().into(),
+        ],
+        output_directory: directory.to_owned(),
+    })
+}
+
+fn upstream_arguments(
+    options: &FleetOptions,
+    service: &ServiceSize,
+    address: SocketAddr,
+    announce_to: SocketAddr,
+    ledger_file: &Path,
+) -> Vec<OsString> {
+    let deployment = &options.deployment;
+    let slots = options.slots.unwrap_or(deployment.slots);
+    let numbers = [
+        ("--slots", u128::from(slots)),
+        ("--connections", u128::from(deployment.connections)),
+        ("--service-us", options.service_time.as_micros()),
+        ("--jitter-us", options.service_jitter.as_micros()),
+        ("--cold-start-ms", options.cold_start.as_millis()),
+        ("--longest-order-ms", options.longest_order.as_millis()),
+    ];
+    let mut arguments: Vec<OsString> = vec![
+        "upstream".into(),
+        "--service".into(),
+        service.name.into(),
+        "--listen".into(),
+        address.to_string().into(),
+        "--announce-to".into(),
+        announce_to.to_string().into(),
+        "--checks-fence".into(),
+        options.checks_fence.to_string().into(),
+        "--ledger-file".into(),
+        ledger_file.into(),
+    ];
+    for (flag, number) in numbers {
+        arguments.push(flag.into());
+        arguments.push(number.to_string().into());
+    }
+    arguments
+}
--- /dev/null
+++ b/crates/winch-bench/src/fleet/ports.rs
@@ -0,0 +1,42 @@
+//! Finds free ports on loopback.
+//!
+//! The ports lie below the range from which the kernel takes the ports of
+//! outgoing connections, so that a process that is restarted finds its own
+//! ports still free.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
+
+use eyre::bail;
+
+const FIRST_PORT: u16 = 20_000;
+const LAST_PORT: u16 = 32_000;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// Returns an address on loopback whose port is free for TCP and UDP, and that
+/// this process has not returned before.
+///
+/// # Errors
+///
+/// When no port is left.
+pub fn free_address() -> eyre::Result<SocketAddr> {
+    let span = LAST_PORT - FIRST_PORT;
+    // Processes that run at the same time start at different ports.
+    let first = (std::process::id() % u32::from(span)) as u16;
+    loop {
+        let taken = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        if taken >= span {
+            bail!("no free port is left between {FIRST_PORT} and {LAST_PORT}");
+        }
+        let port = FIRST_PORT + (first + taken) % span;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+}
--- /dev/null
+++ b/crates/winch-bench/src/load/generator.rs
@@ -0,0 +1,170 @@
+//! Sends requests when they are due.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use reqwest::Client;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::MissedTickBehavior;
+
+use super::caller::CallerRequest;
+use super::caller::send;
+use super::record::RequestRecord;
+use super::record::unix_micros;
+use super::stream::TrafficStream;
+
+/// How often due requests are sent.
+const SEND_INTERVAL: Duration = Duration::from_millis(1);
+
+/// How many callers there are, each with connections of its own.
+const CALLERS: usize = 32;
+
+/// What a load's streams sent and got.
+#[derive(Debug, Default)]
+pub struct LoadOutcome {
+    /// Every request that was sent.
+    pub records: Vec<RequestRecord>,
+    /// Requests that were due and not sent, because too many were in flight.
+    pub not_sent: u64,
+    /// The streams, by the index that the records name.
+    pub streams: Vec<TrafficStream>,
+}
+
+/// A load that is being sent.
+#[derive(Debug)]
+pub struct LoadGenerator {
+    streams: Vec<TrafficStream>,
+    tasks: JoinSet<u64>,
+    records: mpsc::UnboundedReceiver<RequestRecord>,
+}
+
+impl LoadGenerator {
+    /// Starts to send.
+    ///
+    /// # Panics
+    ///
+    /// When a client cannot be built, which loopback HTTP never causes.
+    pub fn start(streams: Vec<TrafficStream>, seed: u64) -> Self {
+        let (sender, records) = mpsc::unbounded_channel();
+        let tags = Arc::new(AtomicU64::new(0));
+        let clients: Arc<[Client]> = (0..CALLERS).map(|_| new_client()).collect();
+        let mut tasks = JoinSet::new();
+        for (index, stream) in streams.iter().enumerate() {
+            let sender = StreamSender {
+                index,
+                stream: Arc::new(stream.clone()),
+                clients: Arc::clone(&clients),
+                tags: Arc::clone(&tags),
+                in_flight: Arc::default(),
+                records: sender.clone(),
+                random: StdRng::seed_from_u64(seed.wrapping_add(index as u64)),
+            };
+            tasks.spawn(sender.run());
+        }
+        Self {
+            streams,
+            tasks,
+            records,
+        }
+    }
+
+    /// Waits until every request has ended.
+    pub async fn finish(mut self) -> LoadOutcome {
+        let mut outcome = LoadOutcome {
+            streams: self.streams,
+            ..LoadOutcome::default()
+        };
+        while let Some(record) = self.records.recv().await {
+            outcome.records.push(record);
+        }
+        while let Some(not_sent) = self.tasks.join_next().await {
+            outcome.not_sent += not_sent.unwrap_or_default();
+        }
+        outcome
+    }
+}
+
+/// Returns a client with connections of its own.
+///
+/// # Panics
+///
+/// When a client cannot be built, which loopback HTTP never causes.
+pub fn new_client() -> Client {
+    Client::builder()
+        .no_proxy()
+        .tcp_nodelay(true)
+        .pool_max_idle_per_host(256)
+        .build()
+        .expect("a plain client can be built")
+}
+
+struct StreamSender {
+    index: usize,
+    stream: Arc<TrafficStream>,
+    clients: Arc<[Client]>,
+    tags: Arc<AtomicU64>,
+    in_flight: Arc<AtomicUsize>,
+    records: mpsc::UnboundedSender<RequestRecord>,
+    random: StdRng,
+}
+
+impl StreamSender {
+    /// Sends the stream, and returns how many requests were due and not sent.
+    async fn run(mut self) -> u64 {
+        tokio::time::sleep(self.stream.start).await;
+        let started = Instant::now();
+        let started_us = unix_micros();
+        let total = (self.stream.duration.as_secs_f64() * self.stream.rate) as u64;
+        let gap_us = 1e6 / self.stream.rate;
+        let mut ticks = tokio::time::interval(SEND_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        let mut sent = 0;
+        let mut not_sent = 0;
+        while sent < total {
+            ticks.tick().await;
+            let due = (started.elapsed().as_secs_f64() * self.stream.rate) as u64;
+            while sent < due.min(total) {
+                let due_us = started_us + (sent as f64 * gap_us) as u64;
+                if !self.send_one(due_us) {
+                    not_sent += 1;
+                }
+                sent += 1;
+            }
+        }
+        not_sent
+    }
+
+    /// Sends one request. Returns whether there was room in flight.
+    fn send_one(&mut self, due: u64) -> bool {
+        if self.in_flight.load(Ordering::Relaxed) >= self.stream.in_flight {
+            return false;
+        }
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        let key = self.random.random_range(0..self.stream.keys.len());
+        let request = CallerRequest {
+            stream: self.index,
+            tag: self.tags.fetch_add(1, Ordering::Relaxed),
+            key: self.stream.keys[key].clone(),
+            due,
+            caller: self.random.random_range(0..self.clients.len()),
+        };
+        let client = self.clients[request.caller].clone();
+        let stream = Arc::clone(&self.stream);
+        let records = self.records.clone();
+        let in_flight = Arc::clone(&self.in_flight);
+        tokio::spawn(async move {
+            let record = send(&client, &stream, request).await;
+            in_flight.fetch_sub(1, Ordering::Relaxed);
+            drop(records.send(record));
+        });
+        true
+    }
+}
--- a/crates/winch-bench/src/main.rs
+++ b/crates/winch-bench/src/main.rs
@@ -1,3 +1,35 @@
 //! Runs experiments and reports their figures.
 
-fn main() {}
+mod commands;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use clap::Subcommand;
+
+use commands::list;
+use commands::run;
+
+/// Load and failure experiments against real processes.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct BenchArgs {
+    #[command(subcommand)]
+    command: BenchCommand,
+}
+
+#[derive(Debug, Subcommand)]
+enum BenchCommand {
+    /// Names the experiments.
+    List(list::ListArgs),
+    /// Runs an experiment, or all of them.
+    Run(run::RunArgs),
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<ExitCode> {
+    match BenchArgs::parse().command {
+        BenchCommand::List(args) => Ok(list::exec(&args)),
+        BenchCommand::Run(args) => run::exec(args).await,
+    }
+}
--- a/crates/winch-standin/src/upstream_standin/ledger.rs
+++ b/crates/winch-standin/src/upstream_standin/ledger.rs
@@ -26,6 +26,8 @@
     pub epoch: u64,
     /// The idempotency key.
     pub idempotency_key: Option<Box<str>>,
+    /// Path of the request.
+    pub path: Box<str>,
     /// When it started, in microseconds since the Unix epoch.
     pub started_unix_us: u64,
     /// When it finished; none while it runs or when it was cut short.
--- a/crates/winch-standin/src/upstream_standin/order.rs
+++ b/crates/winch-standin/src/upstream_standin/order.rs
@@ -40,6 +40,8 @@
     pub(super) idempotency_key: Option<Box<str>>,
     /// The key.
     pub(super) key: Box<str>,
+    /// Path of the request.
+    pub(super) path: Box<str>,
     /// The grant.
     pub(super) grant: OrderGrant,
     /// Digest of the body.
@@ -277,6 +279,7 @@
         key: task.key.clone(),
         epoch: task.grant.epoch,
         idempotency_key: task.idempotency_key.clone(),
+        path: task.path.clone(),
         started_unix_us: 0,
         finished_unix_us: None,
     }
--- a/crates/winch-standin/src/upstream_standin/server.rs
+++ b/crates/winch-standin/src/upstream_standin/server.rs
@@ -10,6 +10,7 @@
 use warp::http::HeaderMap;
 use warp::http::Response;
 use warp::http::StatusCode;
+use warp::path::FullPath;
 
 use super::UpstreamFaults;
 use super::fence::OrderGrant;
@@ -64,6 +65,7 @@
         .and(with_runner.clone())
         .map(|faults, runner: Arc<OrderRunner>| answer_faults(&runner, faults));
     let order = with_runner
+        .and(warp::path::full())
         .and(warp::header::headers_cloned())
         .and(warp::body::bytes())
         .then(answer_order);
@@ -108,8 +110,13 @@
     json_answer(&faults)
 }
 
-async fn answer_order(runner: Arc<OrderRunner>, headers: HeaderMap, body: Bytes) -> Answer {
-    let task = order_task(&headers, &body);
+async fn answer_order(
+    runner: Arc<OrderRunner>,
+    path: FullPath,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Answer {
+    let task = order_task(path.as_str(), &headers, &body);
     let key = headers.get(KEY_HEADER).cloned();
     // A task of its own: an order that started runs to its end also when the
     // connection is gone.
@@ -140,7 +147,7 @@
     }
 }
 
-fn order_task(headers: &HeaderMap, body: &[u8]) -> OrderTask {
+fn order_task(path: &str, headers: &HeaderMap, body: &[u8]) -> OrderTask {
     let grant = OrderGrant {
         slice: text(headers, SLICE_HEADER).unwrap_or_default().into(),
         epoch: number(headers, EPOCH_HEADER).unwrap_or_default(),
@@ -150,6 +157,7 @@
         id: text(headers, ORDER_HEADER).unwrap_or_default().into(),
         idempotency_key: text(headers, IDEMPOTENCY_HEADER).map(Into::into),
         key: text(headers, KEY_HEADER).unwrap_or_default().into(),
+        path: path.into(),
         grant,
         digest: digest_body(body),
     }
