--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! The integration test program: one module per feature.
 
 mod admission_scheduler;
+mod bench_checks;
 mod declarations;
 mod delivery;
 mod error_table;
