--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,5 +3,6 @@
 mod declarations;
 mod error_table;
 mod fold;
+mod operator_api;
 mod settings;
 mod telemetry;
