--- a/src/bin/winchd/check.rs
+++ b/src/bin/winchd/check.rs
@@ -6,7 +6,8 @@
 use clap::Args;
 
 /// Arguments of `winchd check`.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct CheckArgs {
     /// The settings file.
     file: PathBuf,
--- a/src/bin/winchd/main.rs
+++ b/src/bin/winchd/main.rs
@@ -9,7 +9,8 @@
 use clap::Subcommand;
 
 /// Routes requests to the owners of their keys, beside one upstream.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 #[command(name = "winchd", version)]
 struct Cli {
     /// Print a settings file with every default and a comment, and exit.
@@ -19,7 +20,8 @@
     command: Option<Command>,
 }
 
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 enum Command {
     /// Check a settings file and list every fault in it.
     Check(check::CheckArgs),
--- a/src/declarations/document.rs
+++ b/src/declarations/document.rs
@@ -26,7 +26,8 @@
 use crate::base::ids::ServiceName;
 use crate::base::milliseconds;
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Envelope {
     kind: ObjectKind,
@@ -38,7 +39,8 @@
 }
 
 /// A document of one kind.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Document<S> {
     kind: ObjectKind,
@@ -46,7 +48,8 @@
     spec: S,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ServiceSpec {
     division: DivisionMode,
@@ -56,7 +59,8 @@
     max_body_bytes: u32,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ClassSpec {
     rank: u8,
@@ -73,7 +77,8 @@
     queue: u32,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RuleSpec {
     service: ServiceName,
--- a/src/declarations/mod.rs
+++ b/src/declarations/mod.rs
@@ -29,7 +29,8 @@
 use crate::base::ids::ServiceName;
 
 /// Kind of a declared object.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum ObjectKind {
     /// A [`ServiceDeclaration`].
     Service,
@@ -73,7 +74,8 @@
 }
 
 /// Names a declared object.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ObjectKey {
     /// The object's kind.
     pub kind: ObjectKind,
@@ -88,7 +90,8 @@
 }
 
 /// How a service's requests find their upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum DivisionMode {
     /// By the request's key.
@@ -99,7 +102,8 @@
 }
 
 /// A service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ServiceDeclaration {
     /// The service's name.
     pub name: ServiceName,
@@ -112,7 +116,8 @@
 }
 
 /// A priority class.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClassDeclaration {
     /// The class's name.
     pub name: ClassName,
@@ -133,7 +138,8 @@
 }
 
 /// Where the keys of a service may be owned.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RuleDeclaration {
     /// The rule's name.
     pub name: Box<str>,
@@ -146,7 +152,8 @@
 }
 
 /// A declared object.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Declaration {
     /// A service.
     Service(ServiceDeclaration),
--- a/src/delivery/message.rs
+++ b/src/delivery/message.rs
@@ -16,7 +16,8 @@
 pub type HeaderPair = (Box<str>, Bytes);
 
 /// A caller's request on its way to the owner.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderRequest {
     /// The chain that the request's key belongs to.
     pub chain: ChainKey,
@@ -45,7 +46,8 @@
 }
 
 /// The upstream's whole answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UpstreamAnswer {
     /// HTTP status.
     pub status: u16,
@@ -58,7 +60,8 @@
 }
 
 /// Why an order got no answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderFailure {
     /// The kind, which fixes status and outcome.
     pub kind: ErrorKind,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -46,7 +46,8 @@
 use crate::base::ids::RegionName;
 
 /// The settings of one `winchd`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, bon::Builder)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, bon::Builder)]
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
     /// Name of the node, constant over restarts.
--- a/src/settings/sections.rs
+++ b/src/settings/sections.rs
@@ -11,7 +11,8 @@
 use crate::base::milliseconds;
 
 /// Where the process listens.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AddressSettings {
     /// Callers' HTTP.
@@ -25,7 +26,8 @@
 }
 
 /// How the platform's log is reached.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, bon::Builder)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, bon::Builder)]
 #[serde(deny_unknown_fields)]
 pub struct LogSettings {
     /// Base URL of the log.
@@ -91,7 +93,8 @@
 }
 
 /// Bounds of what callers may ask for and of what is kept for them.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, bon::Builder)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, bon::Builder)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitSettings {
     /// Largest body of a request, in bytes; a service may allow less.
@@ -131,7 +134,8 @@
 }
 
 /// Times of the lease.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, bon::Builder)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, bon::Builder)]
 #[serde(deny_unknown_fields, default)]
 pub struct LeaseSettings {
     /// Pause between two renewals.
@@ -159,7 +163,8 @@
 }
 
 /// Form of a log line.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum LogFormat {
     /// One line of text.
@@ -170,7 +175,8 @@
 }
 
 /// Least severe level that is logged.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum LogLevel {
     /// Faults that an operator should mend.
@@ -187,7 +193,8 @@
 }
 
 /// How the process logs.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LoggingSettings {
     /// Form of a line.
@@ -197,7 +204,8 @@
 }
 
 /// How the process leaves.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct DrainSettings {
     /// How long work in flight may take to finish.
--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -2,12 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU16;
-use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -20,7 +19,7 @@
 use super::frame::PROTOCOL_VERSION;
 use super::frame::PeerMessage;
 use super::frame::encode_message;
-use crate::admission::load::LoadReport;
+use crate::admission::load::OwnerLoad;
 use crate::base::collections::FastMap;
 use crate::base::error::ErrorKind;
 use crate::base::ids::Incarnation;
@@ -64,29 +63,7 @@
 }
 
 /// The owner's load, as its latest answer reported it.
-#[derive(Debug, Default)]
-pub struct ReportedLoad {
-    running: AtomicU16,
-    waiting: AtomicU32,
-    limit: AtomicU16,
-}
-
-impl ReportedLoad {
-    fn store(&self, load: LoadReport) {
-        self.running.store(load.running, Ordering::Relaxed);
-        self.waiting.store(load.waiting, Ordering::Relaxed);
-        self.limit.store(load.limit, Ordering::Relaxed);
-    }
-
-    /// Returns the latest report.
-    pub fn load(&self) -> LoadReport {
-        LoadReport {
-            running: self.running.load(Ordering::Relaxed),
-            waiting: self.waiting.load(Ordering::Relaxed),
-            limit: self.limit.load(Ordering::Relaxed),
-        }
-    }
-}
+pub type ReportedLoad = ArcSwap<OwnerLoad>;
 
 enum LinkCommand {
     Call {
@@ -153,8 +130,8 @@
     }
 
     /// Returns the owner's latest reported load.
-    pub fn load(&self) -> LoadReport {
-        self.load.load()
+    pub fn load(&self) -> OwnerLoad {
+        **self.load.load()
     }
 
     /// Sends a request and waits for its answer. Dropping the future cancels
@@ -413,7 +390,7 @@
 
     fn take(&mut self, message: PeerMessage) {
         if let PeerMessage::Answer { id, result, load } = message {
-            self.load.store(load);
+            self.load.store(Arc::new(load));
             // An answer that nobody waits for is late or crossed: dropped.
             if let Some(call) = self.pending.remove(&id) {
                 drop(call.reply.send(*result));
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -22,7 +22,7 @@
 use super::frame::encode_message;
 use super::inbound::InboundTable;
 use super::inbound::InboundVerdict;
-use crate::admission::load::LoadReport;
+use crate::admission::load::OwnerLoad;
 use crate::base::collections::FastMap;
 use crate::base::ids::Incarnation;
 use crate::base::ids::RequestId;
@@ -46,7 +46,7 @@
     ) -> impl Future<Output = OrderResult> + Send;
 
     /// Returns the load that answers carry.
-    fn load(&self) -> LoadReport;
+    fn load(&self) -> OwnerLoad;
 }
 
 /// What is kept for one entry over its connections.
