--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod ownership_gate;
 mod ownership_lease;
 mod ownership_succession;
+mod operator_api;
 mod settings;
 mod standins;
 mod telemetry;
