--- a/src/bin/winchd/main.rs
+++ b/src/bin/winchd/main.rs
@@ -1,6 +1,7 @@
 //! Entry point of `winchd`, the process beside each upstream.
 
 mod check;
+mod run;
 
 use std::process::ExitCode;
 
@@ -25,6 +26,8 @@
 enum Command {
     /// Check a settings file and list every fault in it.
     Check(check::CheckArgs),
+    /// Run beside an upstream; SIGTERM drains, a second one stops.
+    Run(run::RunArgs),
 }
 
 fn main() -> ExitCode {
@@ -35,6 +38,7 @@
     }
     let result = match cli.command {
         Some(Command::Check(args)) => check::exec(&args),
+        Some(Command::Run(args)) => run::exec(&args),
         None => {
             eprintln!("{}", Cli::command().render_help());
             return ExitCode::from(2);
--- a/src/handover/coordinator.rs
+++ b/src/handover/coordinator.rs
@@ -95,6 +95,8 @@
     pub state: Arc<FoldedState>,
     /// Incarnations known to have ended beyond what is folded.
     pub ended: FastSet<Incarnation>,
+    /// Whether this process is leaving.
+    pub is_leaving: bool,
 }
 
 /// A message from another member.
@@ -185,7 +187,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: HandoverInputs, _context: &mut Context<Self>) {
-        self.duties = resign_duties(&message.state, &message.ended, self.own);
+        self.duties = resign_duties(&message.state, &message.ended, self.own, message.is_leaving);
         let due: FastSet<(ChainKey, Epoch)> = self
             .duties
             .iter()
--- a/src/handover/duty.rs
+++ b/src/handover/duty.rs
@@ -3,7 +3,6 @@
 use crate::base::collections::FastSet;
 use crate::base::ids::Epoch;
 use crate::base::ids::Incarnation;
-use crate::state::folded::ChainEntry;
 use crate::state::folded::FoldedState;
 use crate::state::folded::HolderChain;
 use crate::state::record::ChainKey;
@@ -19,47 +18,73 @@
     pub successor: Option<Incarnation>,
 }
 
-/// Derives what `own` has to resign.
+/// Derives what `own` has to resign; everything that somebody else stands by
+/// for when it is leaving.
 pub fn resign_duties(
     state: &FoldedState,
     ended: &FastSet<Incarnation>,
     own: Incarnation,
+    is_leaving: bool,
 ) -> Vec<ResignDuty> {
     let mut duties = Vec::new();
     for (key, chain) in &state.chains {
-        if chain.target > chain.base {
-            add_duties(&mut duties, state, ended, own, key, chain);
+        if is_leaving || chain.target > chain.base {
+            let active = active_positions(state, ended, chain);
+            add_duties(
+                &mut duties,
+                &active,
+                own,
+                key,
+                keeper(&active, chain, own, is_leaving),
+            );
         }
     }
     duties
 }
 
-fn add_duties(
-    duties: &mut Vec<ResignDuty>,
+fn active_positions(
     state: &FoldedState,
     ended: &FastSet<Incarnation>,
-    own: Incarnation,
-    key: &ChainKey,
     chain: &HolderChain,
-) {
-    let is_active = |entry: &ChainEntry| !state.is_passed(entry) && !ended.contains(&entry.holder);
-    let active: Vec<(Epoch, Incarnation)> = (chain.base..)
+) -> Vec<(Epoch, Incarnation)> {
+    (chain.base..)
         .zip(&chain.entries)
-        .filter(|(_epoch, entry)| is_active(entry))
+        .filter(|(_epoch, entry)| !state.is_passed(entry) && !ended.contains(&entry.holder))
         .map(|(epoch, entry)| (epoch, entry.holder))
-        .collect();
-    let Some(target) = active
+        .collect()
+}
+
+/// Returns the position that the earlier ones resign in favour of.
+fn keeper(
+    active: &[(Epoch, Incarnation)],
+    chain: &HolderChain,
+    own: Incarnation,
+    is_leaving: bool,
+) -> Option<(Epoch, Incarnation)> {
+    let may_keep = |holder: Incarnation| !(is_leaving && holder == own);
+    let after_target = active
         .iter()
-        .find(|(epoch, _holder)| *epoch >= chain.target)
-    else {
+        .find(|(epoch, holder)| *epoch >= chain.target && may_keep(*holder));
+    let other = || active.iter().find(|(_epoch, holder)| may_keep(*holder));
+    after_target.or_else(other).copied()
+}
+
+fn add_duties(
+    duties: &mut Vec<ResignDuty>,
+    active: &[(Epoch, Incarnation)],
+    own: Incarnation,
+    key: &ChainKey,
+    keeper: Option<(Epoch, Incarnation)>,
+) {
+    let Some((kept, successor)) = keeper else {
         return;
     };
     for (place, (epoch, holder)) in active.iter().enumerate() {
-        if *epoch < target.0 && *holder == own {
+        if *epoch < kept && *holder == own {
             duties.push(ResignDuty {
                 chain: key.clone(),
                 epoch: *epoch,
-                successor: (place == 0).then_some(target.1),
+                successor: (place == 0).then_some(successor),
             });
         }
     }
--- /dev/null
+++ b/src/node/handler.rs
@@ -0,0 +1,73 @@
+//! Runs the requests that this process owns, counted by chain.
+
+use std::sync::Arc;
+
+use tokio_util::sync::CancellationToken;
+
+use crate::admission::load::OwnerLoad;
+use crate::base::error::ErrorKind;
+use crate::delivery::message::OrderFailure;
+use crate::delivery::message::OrderRequest;
+use crate::delivery::message::OrderResult;
+use crate::delivery::owner::OwnerService;
+use crate::handover::activity::ChainActivity;
+use crate::ownership::gate::OwnershipGate;
+use crate::state::record::ChainSubject;
+use crate::transport::server::OrderHandler;
+
+/// Runs the requests that this process owns. Cloning shares it.
+#[derive(Debug)]
+pub struct NodeHandler<G: OwnershipGate> {
+    gate: G,
+    owner: Arc<OwnerService<G>>,
+    activity: ChainActivity,
+}
+
+impl<G: OwnershipGate> Clone for NodeHandler<G> {
+    fn clone(&self) -> Self {
+        Self {
+            gate: self.gate.clone(),
+            owner: Arc::clone(&self.owner),
+            activity: self.activity.clone(),
+        }
+    }
+}
+
+impl<G: OwnershipGate> NodeHandler<G> {
+    /// Creates the handler.
+    pub fn new(gate: G, owner: Arc<OwnerService<G>>, activity: ChainActivity) -> Self {
+        Self {
+            gate,
+            owner,
+            activity,
+        }
+    }
+}
+
+impl<G: OwnershipGate> OrderHandler for NodeHandler<G> {
+    async fn handle(&self, order: OrderRequest, cancelled: CancellationToken) -> OrderResult {
+        if order.chain.subject == ChainSubject::Any {
+            return self.owner.handle(order, cancelled).await;
+        }
+        let token = match self.gate.admit(&order.chain) {
+            Ok(token) => token,
+            Err(kind) => {
+                return Err(OrderFailure::new(
+                    kind,
+                    "this process does not serve the key now",
+                ));
+            }
+        };
+        let Some(_running) = self.activity.enter(&order.chain, token.epoch) else {
+            return Err(OrderFailure::new(
+                ErrorKind::NotOwner,
+                "the key is moving away",
+            ));
+        };
+        self.owner.handle(order, cancelled).await
+    }
+
+    fn load(&self) -> OwnerLoad {
+        self.owner.load()
+    }
+}
--- /dev/null
+++ b/src/node/identity.rs
@@ -0,0 +1,19 @@
+//! Names incarnations.
+
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use crate::base::ids::Incarnation;
+
+/// Bits of an incarnation that are random.
+const RANDOM_BITS: u32 = 12;
+
+/// Returns a new incarnation: greater than every one that started before on
+/// this VM, unless the VM's clock was set back.
+pub fn new_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let started = since_epoch.as_micros() as u64;
+    (started << RANDOM_BITS) | u64::from(rand::random::<u16>() >> (u16::BITS - RANDOM_BITS))
+}
--- /dev/null
+++ b/src/node/local.rs
@@ -0,0 +1,42 @@
+//! What the VM itself asks: the upstream's announcements, health and metrics.
+
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use warp::Filter;
+use warp::http::StatusCode;
+
+use super::inputs::NodeInputs;
+use crate::telemetry::metrics::MetricRegistry;
+use crate::upstream::announce::UpstreamRegistry;
+use crate::upstream::announce::announce_routes;
+
+/// Serves the VM until `stop` fires.
+pub async fn serve_local(
+    listener: TcpListener,
+    registry: UpstreamRegistry,
+    metrics: MetricRegistry,
+    inputs: watch::Receiver<NodeInputs>,
+    stop: CancellationToken,
+) {
+    let health = warp::path!("healthz").map(|| StatusCode::OK);
+    let ready = warp::path!("readyz").map(move || readiness(&inputs.borrow()));
+    let text = warp::path!("metrics").map(move || metrics.encode());
+    let routes = announce_routes(registry).or(health).or(ready).or(text);
+    warp::serve(routes)
+        .incoming(listener)
+        .graceful(async move { stop.cancelled().await })
+        .run()
+        .await;
+}
+
+/// A process is ready when it can route: it has folded declarations and is not
+/// leaving.
+fn readiness(inputs: &NodeInputs) -> StatusCode {
+    let is_ready = !inputs.state.objects.is_empty() && !inputs.is_leaving;
+    if is_ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,1 +1,18 @@
 //! One whole process.
+//!
+//! [`process`] binds the sockets and wires the parts of one incarnation. An
+//! incarnation that cannot hold its lease any more ends for good; the program
+//! then starts the next one, which remembers nothing of it.
+//!
+//! [`datagrams`] hands each datagram to its part, [`handler`] counts what runs
+//! for each chain, [`inputs`] tells the parts what changed, [`membership`]
+//! joins and leaves, and [`local`] serves the upstream and the VM's own tools.
+
+pub mod datagrams;
+pub mod handler;
+pub mod identity;
+pub mod inputs;
+pub mod local;
+pub mod membership;
+pub mod observer;
+pub mod process;
--- /dev/null
+++ b/src/node/observer.rs
@@ -0,0 +1,54 @@
+//! Counts requests by class.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+
+use crate::base::collections::FastMap;
+use crate::base::ids::ClassName;
+use crate::declarations::ClassDeclaration;
+use crate::delivery::message::OrderResult;
+use crate::entry::server::RequestObserver;
+use crate::telemetry::classes::ClassMetrics;
+use crate::telemetry::metrics::MetricRegistry;
+use crate::telemetry::metrics::UNDECLARED_CLASS;
+
+/// Counts the entry's requests. Cloning shares it.
+#[derive(Debug, Clone)]
+pub struct EntryObserver {
+    registry: MetricRegistry,
+    classes: Arc<ArcSwap<FastMap<ClassName, ClassMetrics>>>,
+    undeclared: ClassMetrics,
+}
+
+impl EntryObserver {
+    /// Creates an observer that knows no class yet.
+    pub fn new(registry: MetricRegistry) -> Self {
+        Self {
+            undeclared: registry.class(UNDECLARED_CLASS),
+            classes: Arc::default(),
+            registry,
+        }
+    }
+
+    /// Takes the declared classes.
+    pub fn set_classes(&self, classes: &[ClassDeclaration]) {
+        let known = classes
+            .iter()
+            .map(|class| (class.name.clone(), self.registry.class(&class.name)))
+            .collect();
+        self.classes.store(Arc::new(known));
+    }
+}
+
+impl RequestObserver for EntryObserver {
+    fn observe(&self, class: &str, result: &OrderResult, latency: Duration) {
+        let classes = self.classes.load();
+        let metrics = classes.get(class).unwrap_or(&self.undeclared);
+        match result {
+            Ok(_answer) => metrics.count_answer(latency),
+            Err(failure) => metrics.count_error(failure.kind, latency),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/process.rs
@@ -0,0 +1,551 @@
+//! Binds the sockets and wires the parts of one incarnation.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use xtra::Address;
+use xtra::Handler;
+use xtra::Mailbox;
+
+use super::datagrams::DatagramReceiver;
+use super::datagrams::NodeSender;
+use super::handler::NodeHandler;
+use super::identity::new_incarnation;
+use super::inputs::NodeInputs;
+use super::inputs::RouteKeeper;
+use super::inputs::join_inputs;
+use super::local::serve_local;
+use super::membership::MembershipClerk;
+use super::observer::EntryObserver;
+use crate::base::ids::Epoch;
+use crate::base::ids::Incarnation;
+use crate::base::timer::TimerService;
+use crate::declarations::ClassDeclaration;
+use crate::declarations::Declaration;
+use crate::delivery::owner::OwnerService;
+use crate::delivery::settings::OwnerSettings;
+use crate::entry::dispatch::OrderDispatcher;
+use crate::entry::server::EntryLimits;
+use crate::entry::server::EntryServer;
+use crate::handover::activity::ChainActivity;
+use crate::handover::coordinator::HandoverCoordinator;
+use crate::handover::coordinator::HandoverInputs;
+use crate::handover::coordinator::HandoverTick;
+use crate::handover::coordinator::ReadinessSource;
+use crate::log::follower::FollowerSettings;
+use crate::log::follower::start_follower;
+use crate::log::http::HttpLogService;
+use crate::log::http::HttpLogSettings;
+use crate::log::writer::WriterSettings;
+use crate::log::writer::start_writer;
+use crate::ownership::actor::LeaseActor;
+use crate::ownership::actor::ResignPositions;
+use crate::ownership::actor::StateChanged;
+use crate::ownership::gate::SystemClock;
+use crate::ownership::timing::LeaseTiming;
+use crate::planner::actor::PlannerActor;
+use crate::planner::actor::PlannerStep;
+use crate::planner::actor::PlannerTick;
+use crate::routing::table::RoutePublisher;
+use crate::settings::NodeSettings;
+use crate::state::folded::FoldedState;
+use crate::state::record::ChainKey;
+use crate::telemetry::metrics::MetricRegistry;
+use crate::transport::datagram::DatagramSocket;
+use crate::transport::server::PeerServer;
+use crate::upstream::announce::UpstreamRegistry;
+use crate::upstream::http::HttpUpstream;
+
+/// Messages that may wait for a part.
+const MAILBOX: usize = 1024;
+
+/// Certificates and resignations that may wait for the log.
+const REPORT_QUEUE: usize = 1024;
+
+/// Largest answer of an upstream, in bytes.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+/// How often leases are looked at.
+const LEASE_TICK: Duration = Duration::from_millis(50);
+
+/// Pause before an incarnation that ended is followed by the next.
+const REJOIN_PAUSE: Duration = Duration::from_millis(100);
+
+/// Runs incarnations until `leave` fires and the last one has left.
+///
+/// Fails when a socket cannot be bound.
+pub async fn run_node(settings: NodeSettings, leave: CancellationToken) -> eyre::Result<()> {
+    let settings = Arc::new(settings);
+    while !leave.is_cancelled() {
+        let process = NodeProcess::start(Arc::clone(&settings)).await?;
+        process.run(&leave).await;
+        if !leave.is_cancelled() {
+            tokio::time::sleep(REJOIN_PAUSE).await;
+        }
+    }
+    Ok(())
+}
+
+struct NodeListeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    local: TcpListener,
+    datagrams: DatagramSocket,
+}
+
+impl NodeListeners {
+    async fn bind(settings: &NodeSettings) -> eyre::Result<Self> {
+        let addresses = &settings.addresses;
+        Ok(Self {
+            callers: bind("callers", addresses.callers).await?,
+            peers: bind("peers", addresses.peers).await?,
+            local: bind("local", addresses.local).await?,
+            datagrams: DatagramSocket::bind(addresses.peers)
+                .await
+                .wrap_err_with(|| cannot_bind("peers", addresses.peers))?,
+        })
+    }
+}
+
+async fn bind(field: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| cannot_bind(field, address))
+}
+
+fn cannot_bind(field: &str, address: SocketAddr) -> String {
+    format!("cannot bind addresses.{field} {address}; free it or name another")
+}
+
+/// Tells whether the lease is live and the upstream is there.
+#[derive(Debug, Clone)]
+struct NodeReadiness {
+    inputs: watch::Receiver<NodeInputs>,
+    registry: UpstreamRegistry,
+}
+
+impl ReadinessSource for NodeReadiness {
+    fn is_ready(&self) -> bool {
+        let inputs = self.inputs.borrow();
+        let is_announced = self.registry.subscribe().borrow().is_some();
+        inputs.view.lease_live && !inputs.is_leaving && is_announced
+    }
+}
+
+type NodeGate = crate::ownership::gate::LeaseGate<SystemClock>;
+type NodeOwner = OwnerService<NodeGate>;
+type NodeLease = LeaseActor<SystemClock, NodeSender>;
+type NodeHandover = HandoverCoordinator<NodeSender, NodeReadiness>;
+type NodePlanner = PlannerActor<HttpLogService, NodeSender>;
+
+/// The parts of one incarnation.
+struct NodeProcess {
+    settings: Arc<NodeSettings>,
+    own: Incarnation,
+    inputs: watch::Receiver<NodeInputs>,
+    leaving: watch::Sender<bool>,
+    owner: Arc<NodeOwner>,
+    clerk: MembershipClerk<HttpLogService>,
+    registry: UpstreamRegistry,
+    /// Ends the parts that callers and other processes talk to.
+    stop_serving: CancellationToken,
+    /// Ends everything else.
+    stop: CancellationToken,
+    entries: TaskTracker,
+    tasks: TaskTracker,
+}
+
+impl NodeProcess {
+    #[expect(clippy::too_many_lines, reason = "wires every part once, in one place")]
+    async fn start(settings: Arc<NodeSettings>) -> eyre::Result<Self> {
+        let own = new_incarnation();
+        let listeners = NodeListeners::bind(&settings).await?;
+        log::info!("node: {} starts as {own:x}", settings.node);
+        let metrics = MetricRegistry::new();
+        let (inputs_sender, inputs) = watch::channel(NodeInputs::default());
+        let (leaving, leaving_watch) = watch::channel(false);
+        let sender = NodeSender::new(listeners.datagrams.clone(), inputs.clone());
+        let stop = CancellationToken::new();
+        let stop_serving = CancellationToken::new();
+        let tasks = TaskTracker::new();
+        let entries = TaskTracker::new();
+
+        let log = HttpLogService::new(log_settings(&settings))?;
+        let follower = start_follower(
+            log.clone(),
+            FoldedState::default(),
+            FollowerSettings::builder()
+                .poll_interval(settings.log.poll_interval)
+                .page_limit(settings.log.read_entries as usize)
+                .retry_limit(settings.log.longest_backoff)
+                .build(),
+        );
+        let writer = start_writer(
+            log,
+            follower.clone(),
+            own,
+            WriterSettings::builder()
+                .rate(settings.log.appends_per_second)
+                .burst(settings.log.appends_per_second)
+                .build(),
+        );
+
+        let (ends, ends_queue) = mpsc::channel(REPORT_QUEUE);
+        let lease = LeaseActor::builder()
+            .incarnation(own)
+            .timing(lease_timing(&settings))
+            .clock(SystemClock::start())
+            .sender(sender.clone())
+            .appends(ends)
+            .metrics(metrics.ownership.clone())
+            .build();
+        let gate = lease.gate();
+        let views = lease.view();
+        let lease = spawn_actor(lease);
+        tasks.spawn(until(
+            stop.clone(),
+            join_inputs(follower.states(), views, leaving_watch, inputs_sender),
+        ));
+
+        let registry = UpstreamRegistry::new();
+        tasks.spawn(until(
+            stop.clone(),
+            registry.clone().expire_silent(TimerService),
+        ));
+        let owner = Arc::new(OwnerService::new(
+            gate.clone(),
+            HttpUpstream::new(MAX_ANSWER)?,
+            registry.subscribe(),
+            OwnerSettings::builder()
+                .incarnation(own)
+                .outcome_memory(settings.limits.outcome_memory)
+                .outcome_entries(settings.limits.outcome_entries as usize)
+                .outcome_bytes(settings.limits.outcome_bytes as usize)
+                .build(),
+        ));
+        let activity = ChainActivity::default();
+        let handler = NodeHandler::new(gate, Arc::clone(&owner), activity.clone());
+
+        let routes = RoutePublisher::default();
+        tasks.spawn(until(
+            stop.clone(),
+            RouteKeeper::new(own, routes.clone()).run(inputs.clone()),
+        ));
+        let observer = EntryObserver::new(metrics.clone());
+        tasks.spawn(until(
+            stop.clone(),
+            follow_classes(inputs.clone(), Arc::clone(&owner), observer.clone()),
+        ));
+
+        let clerk = MembershipClerk::new(
+            own,
+            Arc::clone(&settings),
+            writer.clone(),
+            sender.clone(),
+            inputs.clone(),
+        );
+        tasks.spawn(until(stop.clone(), clerk.clone().append_ends(ends_queue)));
+
+        let (resigns, resigns_queue) = mpsc::channel(REPORT_QUEUE);
+        let (reports, reports_queue) = mpsc::channel(REPORT_QUEUE);
+        tasks.spawn(until(
+            stop.clone(),
+            resign(resigns_queue, lease.clone(), reports),
+        ));
+        tasks.spawn(until(
+            stop.clone(),
+            clerk.clone().append_resigns(reports_queue),
+        ));
+        let handover: Address<NodeHandover> = spawn_actor(
+            HandoverCoordinator::builder()
+                .own(own)
+                .sender(sender.clone())
+                .readiness(NodeReadiness {
+                    inputs: inputs.clone(),
+                    registry: registry.clone(),
+                })
+                .activity(activity)
+                .resigns(resigns)
+                .build(),
+        );
+        let planner: Address<NodePlanner> = spawn_actor(PlannerActor::new(own, writer, sender));
+
+        tasks.spawn(until(stop.clone(), tick_leases(lease.clone())));
+        tasks.spawn(until(
+            stop.clone(),
+            send_ticks(handover.clone(), HandoverTick::INTERVAL, || HandoverTick),
+        ));
+        tasks.spawn(until(
+            stop.clone(),
+            send_ticks(planner.clone(), PlannerTick::INTERVAL, || PlannerTick),
+        ));
+        tasks.spawn(until(
+            stop.clone(),
+            follow_states(follower.states(), lease.clone()),
+        ));
+        tasks.spawn(until(
+            stop.clone(),
+            feed_actors(own, inputs.clone(), handover.clone(), planner.clone()),
+        ));
+        let receiver = DatagramReceiver {
+            socket: listeners.datagrams,
+            ownership: lease,
+            planner,
+            handover,
+            follower,
+            metrics: metrics.transport.clone(),
+        };
+        tasks.spawn(receiver.run(stop.clone()));
+
+        let peers = PeerServer::new(own, handler.clone());
+        tasks.spawn(until(
+            stop.clone(),
+            forget_entries(inputs.clone(), peers.clone()),
+        ));
+        tasks.spawn(peers.serve(listeners.peers, stop.clone()));
+        let dispatcher =
+            OrderDispatcher::new(own, settings.failure_domain.clone(), routes, handler);
+        let entry = EntryServer::new(dispatcher, entry_limits(&settings), observer);
+        entries.spawn(entry.serve(listeners.callers, stop_serving.clone()));
+        tasks.spawn(serve_local(
+            listeners.local,
+            registry.clone(),
+            metrics,
+            inputs.clone(),
+            stop.clone(),
+        ));
+
+        Ok(Self {
+            settings,
+            own,
+            inputs,
+            leaving,
+            owner,
+            clerk,
+            registry,
+            stop_serving,
+            stop,
+            entries,
+            tasks,
+        })
+    }
+
+    /// Runs until the incarnation has ended or left.
+    async fn run(self, leave: &CancellationToken) {
+        let mut inputs = self.inputs.clone();
+        let ended = inputs.wait_for(|inputs| inputs.view.end_cause.is_some());
+        tokio::select! {
+            ended = ended => {
+                let cause = ended.ok().and_then(|inputs| inputs.view.end_cause);
+                log::warn!("node: {:x} has ended: {cause:?}", self.own);
+            }
+            () = self.clerk.follow_upstream(self.registry.subscribe()) => {
+                log::info!("node: the upstream is gone, {:x} leaves", self.own);
+                self.leave().await;
+            }
+            () = leave.cancelled() => {
+                log::info!("node: {:x} drains", self.own);
+                self.leave().await;
+            }
+        }
+        self.stop().await;
+    }
+
+    /// Moves every chain away, finishes what runs and leaves.
+    async fn leave(&self) {
+        let limit = self.settings.drain.timeout;
+        self.leaving.send_replace(true);
+        if self.inputs.borrow().state.members.contains_key(&self.own) {
+            self.clerk.announce_drain().await;
+            self.clerk.wait_until_moved(limit).await;
+        }
+        self.owner.drain();
+        self.stop_serving.cancel();
+        self.entries.close();
+        let finished = async {
+            self.entries.wait().await;
+            self.owner.idle().await;
+        };
+        if tokio::time::timeout(limit, finished).await.is_err() {
+            log::warn!("node: leaving with requests that still run");
+        }
+        if self.inputs.borrow().state.members.contains_key(&self.own) {
+            self.clerk.leave().await;
+        }
+    }
+
+    async fn stop(self) {
+        self.stop_serving.cancel();
+        self.stop.cancel();
+        self.entries.close();
+        self.tasks.close();
+        self.tasks.wait().await;
+        let limit = self.settings.drain.timeout;
+        drop(tokio::time::timeout(limit, self.entries.wait()).await);
+    }
+}
+
+fn spawn_actor<A: xtra::Actor<Stop = ()>>(actor: A) -> Address<A> {
+    xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX))
+}
+
+/// Runs a task until it ends or `stop` fires.
+async fn until(stop: CancellationToken, task: impl Future<Output = ()>) {
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = task => {}
+    }
+}
+
+async fn tick_leases(lease: Address<NodeLease>) {
+    let mut ticks = TimerService.subscribe(LEASE_TICK);
+    loop {
+        let tick = ticks.next().await;
+        if lease.send(tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn send_ticks<A, M>(actor: Address<A>, period: Duration, make: impl Fn() -> M)
+where
+    A: Handler<M, Return = ()>,
+    M: Send + 'static,
+{
+    let mut ticks = TimerService.subscribe(period);
+    loop {
+        ticks.next().await;
+        if actor.send(make()).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn follow_states(mut states: watch::Receiver<Arc<FoldedState>>, lease: Address<NodeLease>) {
+    loop {
+        let state = Arc::clone(&states.borrow_and_update());
+        if lease.send(StateChanged(state)).await.is_err() || states.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn feed_actors(
+    own: Incarnation,
+    mut inputs: watch::Receiver<NodeInputs>,
+    handover: Address<NodeHandover>,
+    planner: Address<NodePlanner>,
+) {
+    loop {
+        let current = inputs.borrow_and_update().clone();
+        let is_drained = current
+            .state
+            .members
+            .get(&own)
+            .is_some_and(|member| member.draining);
+        let step = PlannerStep {
+            state: Arc::clone(&current.state),
+            ended: current.view.ended.clone(),
+        };
+        let handover_inputs = HandoverInputs {
+            state: current.state,
+            ended: current.view.ended.clone(),
+            is_leaving: current.is_leaving || is_drained,
+        };
+        let told = planner.send(step).await.is_ok() && handover.send(handover_inputs).await.is_ok();
+        if !told || inputs.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Resigns positions: at this process at once, in the log as soon as it takes
+/// them.
+async fn resign(
+    mut resigns: mpsc::Receiver<Vec<(ChainKey, Epoch)>>,
+    lease: Address<NodeLease>,
+    reports: mpsc::Sender<Vec<(ChainKey, Epoch)>>,
+) {
+    while let Some(positions) = resigns.recv().await {
+        let told = lease.send(ResignPositions(positions.clone())).await;
+        if told.is_err() || reports.send(positions).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn follow_classes(
+    mut inputs: watch::Receiver<NodeInputs>,
+    owner: Arc<NodeOwner>,
+    observer: EntryObserver,
+) {
+    let mut known = Vec::new();
+    loop {
+        let classes = declared_classes(&inputs.borrow_and_update().state);
+        if classes != known {
+            owner.set_classes(&classes);
+            observer.set_classes(&classes);
+            known = classes;
+        }
+        if inputs.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn declared_classes(state: &FoldedState) -> Vec<ClassDeclaration> {
+    let declarations = state
+        .objects
+        .values()
+        .filter_map(|object| object.declaration.as_ref());
+    declarations
+        .filter_map(|declaration| match declaration {
+            Declaration::PriorityClass(class) => Some(class.clone()),
+            Declaration::Service(_) | Declaration::OwnershipRule(_) => None,
+        })
+        .collect()
+}
+
+async fn forget_entries(
+    mut inputs: watch::Receiver<NodeInputs>,
+    peers: PeerServer<NodeHandler<NodeGate>>,
+) {
+    while inputs.changed().await.is_ok() {
+        let state = Arc::clone(&inputs.borrow_and_update().state);
+        peers.retain_entries(|entry| !state.ended.contains(entry));
+    }
+}
+
+fn log_settings(settings: &NodeSettings) -> HttpLogSettings {
+    HttpLogSettings::builder()
+        .base_url(settings.log.address.clone())
+        .read_timeout(settings.log.read_timeout)
+        .append_timeout(settings.log.append_timeout)
+        .build()
+}
+
+fn lease_timing(settings: &NodeSettings) -> LeaseTiming {
+    LeaseTiming::builder()
+        .renew_interval(settings.lease.renew_interval)
+        .lease(settings.lease.lease)
+        .drift_margin(settings.lease.margin)
+        .tick_gap_limit(settings.lease.tick_gap)
+        .build()
+}
+
+fn entry_limits(settings: &NodeSettings) -> EntryLimits {
+    EntryLimits::builder()
+        .connections(settings.limits.max_connections as usize)
+        .max_deadline(settings.limits.max_deadline)
+        .max_body(settings.limits.max_body_bytes as usize)
+        .header_timeout(settings.limits.header_timeout)
+        .body_timeout(settings.limits.body_timeout)
+        .build()
+}
