--- a/src/ownership/message.rs
+++ b/src/ownership/message.rs
@@ -18,7 +18,8 @@
 pub type RoundNumber = u64;
 
 /// One datagram of the ownership protocol.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum OwnershipMessage {
     /// A holder asks a witness for a fresh promise.
     Renew {
--- a/src/ownership/timing.rs
+++ b/src/ownership/timing.rs
@@ -10,7 +10,8 @@
 const RESEND_LIMIT: Duration = Duration::from_millis(3_200);
 
 /// The time limits of leases.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, bon::Builder)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(bon::Builder)]
 pub struct LeaseTiming {
     /// Time between two renewals of a holder.
     #[builder(default = RENEW_INTERVAL)]
--- a/src/state/effect.rs
+++ b/src/state/effect.rs
@@ -6,7 +6,8 @@
 use super::folded::ChangeVerdict;
 
 /// Why a record folded to nothing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum IgnoreReason {
     /// The offset or the batch was folded before.
     Duplicate,
@@ -39,7 +40,8 @@
 }
 
 /// What the fold made of one record.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum FoldEffect {
     /// The record took effect as a whole.
     Accepted,
