ownership: run the machines in an actor and publish what they decide

Cause: the request path needs a gate, routing and the planner need to know of ends and resignations before the log shows them, and certificates have to reach the log once, not once a member.

Change: LeaseActor adds clocks, datagrams, metrics and log lines to the machine. It publishes the gate before it sends anything, so that the gate closes before a successor is told. A certificate's witnesses append it one after the other, everybody else between 5 and 25 s later if it is still missing. The process sees a pause at every step, not only at ticks: a promise that was waiting in the mailbox cannot open the gate first.

Not measured: winch_unavailable_seconds_total stays zero; a successor does not know when its predecessor served last.

--- a/src/ownership/machine.rs
+++ b/src/ownership/machine.rs
@@ -13,6 +13,7 @@
 
 use super::certificate::LapseCollector;
 use super::certificate::LapseStatement;
+use super::decision::OwnershipDecision;
 use super::holder::EndCause;
 use super::holder::LeaseHolder;
 use super::message::OwnershipMessage;
@@ -56,27 +57,6 @@
     Everyone,
 }
 
-/// A decision, for the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum OwnershipDecision {
-    /// The lease became live.
-    LeaseLive,
-    /// The lease stopped being live.
-    LeaseLapsed,
-    /// This process stated a member's lapse.
-    LapseStated(Incarnation),
-    /// Statements made a certificate.
-    CertificateFormed(LapseCertificate),
-    /// A certificate came from another member.
-    CertificateReceived(LapseCertificate),
-    /// What the process may serve changed.
-    Tenure(TenureChange),
-    /// The process was paused for this long.
-    PauseSeen(Duration),
-    /// The process cannot hold its lease any more.
-    Ended(EndCause),
-}
-
 /// What a step of the machine asks for.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OwnershipOutput {
@@ -86,6 +66,8 @@
     pub appends: Vec<LapseCertificate>,
     /// Decisions, in order.
     pub decisions: Vec<OwnershipDecision>,
+    /// Whether the folded state, or what is known beyond it, changed.
+    pub knowledge_changed: bool,
 }
 
 impl OwnershipOutput {
@@ -189,6 +171,12 @@
         self.succession.certified().iter().copied().collect()
     }
 
+    /// Returns the positions that their holders resigned but the folded state
+    /// does not show yet.
+    pub fn resigned(&self) -> Vec<(ChainKey, Epoch)> {
+        self.succession.resigned()
+    }
+
     /// Returns how many messages were for another incarnation.
     pub fn misaddressed(&self) -> u64 {
         self.misaddressed
@@ -200,6 +188,7 @@
         if state.next < self.state().next {
             return output;
         }
+        output.knowledge_changed = true;
         let was_member = self.state().members.contains_key(&self.incarnation);
         if was_member && !state.members.contains_key(&self.incarnation) {
             self.end(EndCause::Log, &mut output);
@@ -284,6 +273,7 @@
                 }
             }
             OwnershipMessage::Resigned { holder, positions } => {
+                output.knowledge_changed = true;
                 let changes = self.succession.resign(holder, positions, now.monotonic);
                 output.note_tenures(changes);
             }
@@ -329,6 +319,7 @@
         now: ClockReading,
     ) -> OwnershipOutput {
         let mut output = self.begin_step(now);
+        output.knowledge_changed = true;
         let incarnation = self.incarnation;
         let changes = self
             .succession
@@ -403,6 +394,7 @@
         now: ClockReading,
         output: &mut OwnershipOutput,
     ) {
+        output.knowledge_changed = true;
         let subject = certificate.subject;
         if subject == self.incarnation {
             self.end(EndCause::Certificate, output);
@@ -446,7 +438,7 @@
         if now.monotonic < self.next_resign {
             return;
         }
-        let positions = self.succession.unfolded_resignations();
+        let positions = self.succession.own_resignations();
         if positions.is_empty() {
             return;
         }
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -8,9 +8,11 @@
 //! * [`certificate`]: from witnesses' statements to lapse certificates.
 //! * [`succession`]: which chains the process may serve.
 //! * [`machine`]: the four together, with neither clock nor I/O.
+//! * [`actor`]: the machine with clocks, datagrams, metrics and log lines.
+//! * [`view`]: what the rest of the process reads.
 //! * [`gate`]: what the request path asks right before it dispatches.
-//! * [`message`], [`timing`], [`rules`]: datagrams, time limits, and the rules
-//!   as a parameter.
+//! * [`message`], [`timing`], [`rules`], [`decision`]: datagrams, time limits,
+//!   the rules as a parameter, and what the log shows.
 //!
 //! A lease is live while a quorum of witnesses has promised to state no lapse.
 //! A certificate is a quorum of statements, so it excludes a live lease, and
@@ -19,7 +21,9 @@
 //! process, and that a process which lost two witnesses together must join
 //! anew.
 
+pub mod actor;
 pub mod certificate;
+pub mod decision;
 pub mod gate;
 pub mod holder;
 pub mod machine;
@@ -27,4 +31,5 @@
 pub mod rules;
 pub mod succession;
 pub mod timing;
+pub mod view;
 pub mod witness;
--- a/src/ownership/succession.rs
+++ b/src/ownership/succession.rs
@@ -107,16 +107,31 @@
         &self.knowledge.certified
     }
 
-    /// Returns this process's resigned positions that the folded state does
-    /// not show as resigned.
-    pub fn unfolded_resignations(&self) -> Vec<(ChainKey, Epoch)> {
+    /// Returns the positions that their holders resigned but the folded state
+    /// does not show yet.
+    pub fn resigned(&self) -> Vec<(ChainKey, Epoch)> {
+        self.resigned_by(|_| true)
+    }
+
+    /// Returns this process's positions among [`Self::resigned`].
+    pub fn own_resignations(&self) -> Vec<(ChainKey, Epoch)> {
+        self.resigned_by(|holder| holder == self.holder)
+    }
+
+    fn resigned_by(&self, matches: impl Fn(Incarnation) -> bool) -> Vec<(ChainKey, Epoch)> {
         let resigned = self.knowledge.resigned.iter();
         resigned
-            .filter(|(_, holder)| **holder == self.holder)
+            .filter(|(position, holder)| matches(**holder) && self.holds(**holder, position))
             .map(|(position, _)| position.clone())
             .collect()
     }
 
+    fn holds(&self, holder: Incarnation, position: &(ChainKey, Epoch)) -> bool {
+        let chain = self.state.chains.get(&position.0);
+        let entry = chain.and_then(|chain| entry_at(chain, position.1));
+        entry.is_some_and(|entry| entry.holder == holder)
+    }
+
     /// Takes in a newer folded state. An older one is ignored.
     pub fn follow(&mut self, state: Arc<FoldedState>, now: Duration) -> Vec<TenureChange> {
         if state.next < self.state.next {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod delivery;
 mod error_table;
 mod fold;
+mod ownership_actor;
 mod ownership_certificate;
 mod ownership_gate;
 mod ownership_lease;
--- a/tests/testsuite/ownership_succession.rs
+++ b/tests/testsuite/ownership_succession.rs
@@ -138,7 +138,7 @@
     let changes = succession.resign(incarnation(2), vec![(slice(0), 1)], millis(20));
 
     assert_eq!(changes, [TenureChange::Ceased(slice(0), 1)]);
-    assert_eq!(succession.unfolded_resignations(), [(slice(0), 1)]);
+    assert_eq!(succession.own_resignations(), [(slice(0), 1)]);
 }
 
 #[test]
