--- a/crates/winch-test-support/src/lib.rs
+++ b/crates/winch-test-support/src/lib.rs
@@ -1,5 +1,6 @@
 //! Fixture builders shared by the test programs.
 
+pub mod fleet;
 pub mod classes;
 pub mod fleet;
 pub mod naive_scheduler;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod delivery;
 mod error_table;
 mod fold;
+mod ownership_actor;
 mod operator_api;
 mod ownership_certificate;
 mod ownership_gate;
