--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -203,7 +203,7 @@
 }
 
 /// Returns the first position that neither resigned nor ended.
-fn serving_position(
+pub fn serving_position(
     key: &ChainKey,
     chain: &HolderChain,
     inputs: RouteInputs<'_>,
--- a/src/state/fold_change.rs
+++ b/src/state/fold_change.rs
@@ -26,6 +26,21 @@
             .map(|(_, verdict)| verdict)
     }
 
+    /// Judges a change as if nothing else came before it.
+    pub fn judge_change(&self, record: &ChangeRecord) -> ChangeVerdict {
+        let current = self.objects.get(&record.object);
+        let version = current.map_or(0, |object| object.version);
+        match current {
+            Some(object) if object.change == record.change => ChangeVerdict::Accepted(version),
+            _ if record.base == version => ChangeVerdict::Accepted(version + 1),
+            current => ChangeVerdict::Conflict {
+                version,
+                change: current.map_or_else(Box::default, |object| object.change.clone()),
+                operator: current.map_or_else(Box::default, |object| object.operator.clone()),
+            },
+        }
+    }
+
     fn note_verdict(&mut self, change: &str, verdict: ChangeVerdict) {
         if self.verdicts.len() >= MAX_VERDICTS {
             self.verdicts.remove(0);
@@ -49,7 +64,7 @@
         if declared.is_some_and(|declaration| declaration.key() != record.object) {
             return Err(IgnoreReason::WrongObject);
         }
-        let verdict = self.judge(record);
+        let verdict = self.state.judge_change(record);
         if let ChangeVerdict::Accepted(version) = verdict {
             let object = ObjectState {
                 version,
@@ -62,18 +77,4 @@
         self.state.note_verdict(&record.change, verdict.clone());
         Ok(FoldEffect::Change(verdict))
     }
-
-    fn judge(&self, record: &ChangeRecord) -> ChangeVerdict {
-        let current = self.state.objects.get(&record.object);
-        let version = current.map_or(0, |object| object.version);
-        match current {
-            Some(object) if object.change == record.change => ChangeVerdict::Accepted(version),
-            _ if record.base == version => ChangeVerdict::Accepted(version + 1),
-            current => ChangeVerdict::Conflict {
-                version,
-                change: current.map_or_else(Box::default, |object| object.change.clone()),
-                operator: current.map_or_else(Box::default, |object| object.operator.clone()),
-            },
-        }
-    }
 }
--- a/src/telemetry/classes.rs
+++ b/src/telemetry/classes.rs
@@ -5,6 +5,8 @@
 use prometheus::Histogram;
 use prometheus::IntCounter;
 use prometheus::IntGauge;
+use prometheus::core::Metric;
+use prometheus::proto::Bucket;
 
 use crate::base::error::ErrorKind;
 use crate::base::error::RequestOutcome;
@@ -52,3 +54,55 @@
         self.wait.observe(wait.as_secs_f64());
     }
 }
+
+/// A class's figures at one moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ClassFigures {
+    /// Requests that the upstream answered.
+    pub answered: u64,
+    /// Requests that were not run.
+    pub not_run: u64,
+    /// Requests whose outcome is unknown.
+    pub unknown: u64,
+    /// Median latency in seconds: the upper bound of its bucket; 0 when
+    /// nothing was measured.
+    pub p50: f64,
+    /// 99th percentile of the latency in seconds, likewise.
+    pub p99: f64,
+    /// Requests that wait at this owner.
+    pub queued: u64,
+    /// Requests that run on this process's upstream.
+    pub running: u64,
+}
+
+impl ClassMetrics {
+    /// Returns the figures. Not for the request path.
+    pub fn figures(&self) -> ClassFigures {
+        ClassFigures {
+            answered: self.answered.get(),
+            not_run: self.not_run.get(),
+            unknown: self.unknown.get(),
+            p50: quantile(&self.latency, 0.5),
+            p99: quantile(&self.latency, 0.99),
+            queued: self.queue.get().unsigned_abs(),
+            running: self.running.get().unsigned_abs(),
+        }
+    }
+}
+
+/// Returns the upper bound of the bucket that holds a quantile; infinite
+/// beyond the last bucket, 0 when the histogram is empty.
+fn quantile(histogram: &Histogram, quantile: f64) -> f64 {
+    let metric = histogram.metric();
+    let histogram = metric.get_histogram();
+    let count = histogram.get_sample_count();
+    if count == 0 {
+        return 0.0;
+    }
+    let rank = (quantile * count as f64).ceil() as u64;
+    histogram
+        .get_bucket()
+        .iter()
+        .find(|bucket| bucket.cumulative_count() >= rank)
+        .map_or(f64::INFINITY, Bucket::upper_bound)
+}
