--- a/crates/winch-test-support/src/lib.rs
+++ b/crates/winch-test-support/src/lib.rs
@@ -1,4 +1,7 @@
 //! Fixture builders shared by the test programs.
 
+pub mod classes;
+pub mod fleet;
+pub mod naive_scheduler;
 pub mod owner;
 pub mod records;
