log: test the client under lost answers, repeats and outages

Cause: the follower and the writer had no test.

Change: an in-memory log with seeded faults among the fixtures; tests of the writer, the follower and the HTTP client against it and the stand-in.

Conclusion: each append takes effect once or is reported as unknown; the effects of a batch reach the append that asked for it.

--- /dev/null
+++ b/crates/winch-test-support/src/fake_log.rs
@@ -0,0 +1,158 @@
+//! An in-memory log whose faults follow a seed.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use buckthornwinch::base::ids::Offset;
+use buckthornwinch::log::service::LogEntry;
+use buckthornwinch::log::service::LogError;
+use buckthornwinch::log::service::LogPage;
+use buckthornwinch::log::service::LogService;
+use bytes::Bytes;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Faults of the log, as probabilities for each append.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct FakeFaults {
+    /// Every call is refused.
+    pub is_down: bool,
+    /// The append takes effect and its answer is lost.
+    pub lose_answer: f64,
+    /// The append has no effect and its answer is lost.
+    pub lose_append: f64,
+    /// The append is written now and again after a later one.
+    pub duplicate: f64,
+    /// The append is refused.
+    pub refuse: f64,
+}
+
+#[derive(Debug)]
+struct FakeState {
+    entries: Vec<Bytes>,
+    earliest: Offset,
+    late: Vec<Bytes>,
+    faults: FakeFaults,
+    random: SmallRng,
+    appends: u64,
+}
+
+/// An in-memory log.
+#[derive(Debug, Clone)]
+pub struct FakeLog {
+    state: Arc<Mutex<FakeState>>,
+}
+
+impl FakeLog {
+    /// Creates an empty log without faults.
+    pub fn new(seed: u64) -> Self {
+        let state = FakeState {
+            entries: Vec::new(),
+            earliest: 0,
+            late: Vec::new(),
+            faults: FakeFaults::default(),
+            random: SmallRng::seed_from_u64(seed),
+            appends: 0,
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Switches the faults.
+    pub fn set_faults(&self, faults: FakeFaults) {
+        self.with(|state| state.faults = faults);
+    }
+
+    /// Drops the entries below an offset.
+    pub fn expire(&self, earliest: Offset) {
+        self.with(|state| state.earliest = earliest);
+    }
+
+    /// Writes an entry past the faults.
+    pub fn write(&self, data: impl Into<Bytes>) {
+        self.with(|state| state.entries.push(data.into()));
+    }
+
+    /// Returns every entry ever written, expired ones included.
+    pub fn written(&self) -> Vec<Bytes> {
+        self.with(|state| state.entries.clone())
+    }
+
+    /// Returns how many appends were tried.
+    pub fn attempts(&self) -> u64 {
+        self.with(|state| state.appends)
+    }
+
+    fn with<T>(&self, run: impl FnOnce(&mut FakeState) -> T) -> T {
+        run(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl FakeState {
+    fn append(&mut self, data: Bytes) -> Result<Offset, LogError> {
+        self.appends += 1;
+        let faults = self.faults;
+        if faults.is_down || self.random.random_bool(faults.refuse) {
+            return Err(LogError::Refused("refused".into()));
+        }
+        if self.random.random_bool(faults.lose_append) {
+            return Err(LogError::Ambiguous("lost before the write".into()));
+        }
+        let offset = self.entries.len() as Offset;
+        self.entries.push(data.clone());
+        self.entries.append(&mut self.late);
+        if self.random.random_bool(faults.duplicate) {
+            self.late.push(data);
+        }
+        if self.random.random_bool(faults.lose_answer) {
+            return Err(LogError::Ambiguous("lost after the write".into()));
+        }
+        Ok(offset)
+    }
+
+    fn read(&self, from: Offset, limit: usize) -> Result<LogPage, LogError> {
+        if self.faults.is_down {
+            return Err(LogError::Refused("down".into()));
+        }
+        if from < self.earliest {
+            return Err(LogError::Expired {
+                earliest: self.earliest,
+            });
+        }
+        let entries = (0..)
+            .zip(&self.entries)
+            .skip(from as usize)
+            .take(limit)
+            .map(|(offset, data)| LogEntry {
+                offset,
+                data: data.clone(),
+            });
+        Ok(LogPage {
+            entries: entries.collect(),
+            end: self.entries.len() as Offset,
+        })
+    }
+}
+
+impl LogService for FakeLog {
+    async fn append(&self, data: Bytes) -> Result<Offset, LogError> {
+        self.with(|state| state.append(data))
+    }
+
+    async fn read(&self, from: Offset, limit: usize) -> Result<LogPage, LogError> {
+        self.with(|state| state.read(from, limit))
+    }
+
+    async fn earliest(&self) -> Result<Offset, LogError> {
+        self.with(|state| {
+            if state.faults.is_down {
+                Err(LogError::Refused("down".into()))
+            } else {
+                Ok(state.earliest)
+            }
+        })
+    }
+}
--- a/src/log/follower.rs
+++ b/src/log/follower.rs
@@ -32,7 +32,8 @@
 const MAILBOX_CAPACITY: usize = 64;
 
 /// How the log is followed.
-#[derive(Debug, Clone, PartialEq, Eq, bon::Builder)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(bon::Builder)]
 pub struct FollowerSettings {
     /// Entries that one read asks for.
     #[builder(default = 128)]
@@ -66,7 +67,8 @@
 }
 
 /// Folds pages of the log and publishes the state.
-#[derive(Debug, xtra::Actor)]
+#[derive(Debug)]
+#[derive(xtra::Actor)]
 pub struct LogFollower {
     state: Arc<FoldedState>,
     states: watch::Sender<Arc<FoldedState>>,
--- a/src/log/http.rs
+++ b/src/log/http.rs
@@ -30,7 +30,8 @@
 const MAX_ANSWER_BYTES: usize = 256 * 1024 * 1024;
 
 /// How to reach the log.
-#[derive(Debug, Clone, PartialEq, Eq, bon::Builder)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(bon::Builder)]
 pub struct HttpLogSettings {
     /// URL that the paths are appended to, without a slash at its end.
     #[builder(into)]
@@ -56,23 +57,27 @@
     settings: HttpLogSettings,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct AppendAnswer {
     offset: Offset,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct EarliestAnswer {
     earliest: Offset,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ReadAnswer {
     end: Offset,
     entries: Vec<EntryAnswer>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct EntryAnswer {
     offset: Offset,
     data: Box<str>,
--- a/src/log/writer.rs
+++ b/src/log/writer.rs
@@ -44,7 +44,8 @@
 const BATCH_OVERHEAD_BYTES: usize = 64;
 
 /// How records are appended.
-#[derive(Debug, Clone, PartialEq, Eq, bon::Builder)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(bon::Builder)]
 pub struct WriterSettings {
     /// Largest batch, in bytes.
     #[builder(default = MAX_ENTRY_BYTES)]
@@ -77,7 +78,8 @@
 }
 
 /// Appends this incarnation's records, one batch at a time.
-#[derive(Debug, xtra::Actor)]
+#[derive(Debug)]
+#[derive(xtra::Actor)]
 pub struct LogWriter<L: LogService> {
     log: L,
     follower: FollowerHandle,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod delivery;
 mod error_table;
 mod fold;
+mod log_client;
 mod settings;
 mod standins;
 mod telemetry;
