--- a/crates/winch-test-support/src/lib.rs
+++ b/crates/winch-test-support/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod classes;
 pub mod fleet;
 pub mod naive_scheduler;
+pub mod fake_log;
 pub mod owner;
 pub mod records;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod ownership_gate;
 mod ownership_lease;
 mod ownership_succession;
+mod log_client;
 mod settings;
 mod standins;
 mod telemetry;
