--- a/crates/winch-bench/src/experiments/support.rs
+++ b/crates/winch-bench/src/experiments/support.rs
@@ -64,7 +64,7 @@
     context: &RunContext,
     deployment: &DeploymentSize,
 ) -> std::path::PathBuf {
-    context.examples.join(deployment.name)
+    context.examples.join(deployment.name).join("declarations")
 }
 
 /// Returns a service's keys.
--- a/crates/winch-bench/src/load/generator.rs
+++ b/crates/winch-bench/src/load/generator.rs
@@ -100,6 +100,7 @@
 pub fn new_client() -> Client {
     Client::builder()
         .no_proxy()
+        .retry(reqwest::retry::never())
         .tcp_nodelay(true)
         .pool_max_idle_per_host(256)
         .build()
--- a/crates/winch-test-support/src/lib.rs
+++ b/crates/winch-test-support/src/lib.rs
@@ -1,1 +1,4 @@
 //! Fixture builders shared by the test programs.
+
+pub mod owner;
+pub mod records;
--- a/src/base/error.rs
+++ b/src/base/error.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// What a caller is told about its request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum RequestOutcome {
     /// The upstream's answer is returned.
     Answered,
@@ -26,7 +27,8 @@
 }
 
 /// Why a request got no answer from its upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum ErrorKind {
     /// A required header is absent.
     MissingHeader,
--- a/src/state/folded.rs
+++ b/src/state/folded.rs
@@ -1,6 +1,7 @@
 //! The state folded from the log.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -18,7 +19,8 @@
 use crate::declarations::ObjectKey;
 
 /// One position of a chain.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChainEntry {
     /// Who holds the position.
     pub holder: Incarnation,
@@ -31,7 +33,8 @@
 /// Position `i` may serve while its holder's lease is live and every earlier
 /// position has resigned or its holder has ended. Positions that resigned or
 /// ended are trimmed from the front.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HolderChain {
     /// Epoch of the first entry.
     pub base: Epoch,
@@ -51,7 +54,8 @@
 }
 
 /// A member's witnesses.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WitnessSet {
     /// Version; 0 before the planner named any.
     pub version: Version,
@@ -67,7 +71,8 @@
 }
 
 /// A live member.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberState {
     /// What it said about itself.
     pub info: MemberInfo,
@@ -84,7 +89,8 @@
 }
 
 /// One version of a declared object.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ObjectState {
     /// The version.
     pub version: Version,
@@ -97,7 +103,8 @@
 }
 
 /// What became of an operator's change.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ChangeVerdict {
     /// Accepted, as this version.
     Accepted(Version),
@@ -112,8 +119,45 @@
     },
 }
 
+/// Incarnations that ended, so that a late copy of a join brings none back.
+///
+/// Bounded: the smallest incarnations, which started first, are remembered by
+/// a floor alone. An incarnation at or below the floor cannot join.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct EndedSet {
+    floor: Incarnation,
+    recent: BTreeSet<Incarnation>,
+}
+
+impl EndedSet {
+    /// How many incarnations are remembered one by one.
+    pub const CAPACITY: usize = 4096;
+
+    /// Adds an incarnation.
+    pub fn insert(&mut self, incarnation: Incarnation) {
+        self.recent.insert(incarnation);
+        while self.recent.len() > Self::CAPACITY {
+            if let Some(smallest) = self.recent.pop_first() {
+                self.floor = self.floor.max(smallest);
+            }
+        }
+    }
+
+    /// Tells whether an incarnation ended or is too old to join.
+    pub fn contains(&self, incarnation: Incarnation) -> bool {
+        incarnation <= self.floor || self.recent.contains(&incarnation)
+    }
+
+    /// Returns the greatest incarnation that is too old to join.
+    pub fn floor(&self) -> Incarnation {
+        self.floor
+    }
+}
+
 /// The state folded from the log below `next`.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FoldedState {
     /// The next offset to read.
     pub next: Offset,
@@ -123,6 +167,8 @@
     pub planner: Option<Incarnation>,
     /// The live members.
     pub members: BTreeMap<Incarnation, MemberState>,
+    /// The incarnations that ended.
+    pub ended: EndedSet,
     /// The declared objects, deleted ones included.
     pub objects: BTreeMap<ObjectKey, ObjectState>,
     /// The chains of slices and single keys.
--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -30,7 +30,8 @@
 ///
 /// The fold takes a batch once: a second batch with the same author and a
 /// sequence that is not greater than the last one taken folds to nothing.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LogBatch {
     /// Who appended.
     pub author: Incarnation,
@@ -41,7 +42,8 @@
 }
 
 /// What an upstream announced about itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UpstreamInfo {
     /// The service that the upstream serves.
     pub service: ServiceName,
@@ -62,7 +64,8 @@
 }
 
 /// What a process says about itself when it joins.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberInfo {
     /// Name of the node, constant over restarts.
     pub node: NodeName,
@@ -83,7 +86,8 @@
 }
 
 /// Names what a chain assigns: a slice, or a single key taken out of one.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum ChainSubject {
     /// A slice of a service's keys.
     Slice(SliceIndex),
@@ -95,7 +99,8 @@
 }
 
 /// Names one chain.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ChainKey {
     /// The service.
     pub service: ServiceName,
@@ -104,7 +109,11 @@
 }
 
 /// Appends holders to a chain's tail.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// A key's chain starts as a copy of its slice's chain, so that whoever may
+/// serve the key as part of the slice precedes the appended holders.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChainAppend {
     /// The chain.
     pub chain: ChainKey,
@@ -120,7 +129,8 @@
 }
 
 /// Two witnesses' statement that an incarnation's lease has ended.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LapseCertificate {
     /// Whose lease ended.
     pub subject: Incarnation,
@@ -131,7 +141,8 @@
 }
 
 /// Why an incarnation has ended.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum EndProof {
     /// A quorum of its witnesses stated so.
     Certificate(LapseCertificate),
@@ -147,7 +158,8 @@
 }
 
 /// An operator's change of one declared object.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChangeRecord {
     /// Identifies the change.
     pub change: ChangeId,
@@ -155,14 +167,16 @@
     pub operator: Box<str>,
     /// The object.
     pub object: ObjectKey,
-    /// The version that the change is based on; 0 creates the object.
+    /// The version that the change is based on; 0 for an object that never
+    /// existed. A deleted object keeps its version.
     pub base: Version,
     /// The new declaration; none deletes the object.
     pub declaration: Option<Declaration>,
 }
 
 /// One record of the log.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum LogRecord {
     /// A process joins. Ends every smaller incarnation of the same node or
     /// peer address. Also announces changes of the process's own facts.
@@ -210,8 +224,9 @@
         /// The chains with the author's epoch in each.
         positions: Vec<(ChainKey, Epoch)>,
     },
-    /// The planner drops the chains of single keys, whose owner must be the
-    /// serving holder of the key's slice.
+    /// The planner drops the chains of single keys. The serving holder of the
+    /// key's slice must be the only one left in the key's chain, and neither
+    /// its epoch nor the tail of the key's chain may exceed the slice's.
     Merge {
         /// The planner's term.
         term: Term,
@@ -225,7 +240,8 @@
 }
 
 /// A part of a snapshot of the folded state.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SnapshotChunk {
     /// The planner's term.
     pub term: Term,
