--- a/crates/winch-bench/src/experiments/mod.rs
+++ b/crates/winch-bench/src/experiments/mod.rs
@@ -1,7 +1,13 @@
-//! The experiments, one module each. [`support`] holds what they share.
+//! The experiments, one module each. [`support`] and [`probe`] hold what they
+//! share.
 
+mod freeze;
+mod log_trouble;
+mod orders;
+mod probe;
 mod steady;
 mod support;
+mod takeover;
 
 use std::path::PathBuf;
 
@@ -9,11 +15,23 @@
 
 use crate::results::ExperimentResult;
 
+use takeover::LogCondition;
+
 /// One experiment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExperimentName {
     /// Throughput and added latency.
     Steady,
+    /// Owners are killed.
+    Takeover,
+    /// Owners are killed while the log is down.
+    TakeoverLogDown,
+    /// Owners are frozen.
+    Freeze,
+    /// The log is down, slow, and loses answers.
+    LogTrouble,
+    /// Orders while everything goes wrong.
+    Orders,
 }
 
 /// What every experiment is given.
@@ -29,12 +47,24 @@
 
 impl ExperimentName {
     /// Every experiment, in the order of `run all`.
-    pub const ALL: [Self; 1] = [Self::Steady];
+    pub const ALL: [Self; 6] = [
+        Self::Steady,
+        Self::Takeover,
+        Self::TakeoverLogDown,
+        Self::Freeze,
+        Self::LogTrouble,
+        Self::Orders,
+    ];
 
     /// Returns the name.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Steady => "steady",
+            Self::Takeover => "takeover",
+            Self::TakeoverLogDown => "takeover-log-down",
+            Self::Freeze => "freeze",
+            Self::LogTrouble => "log-trouble",
+            Self::Orders => "orders",
         }
     }
 
@@ -42,6 +72,11 @@
     pub fn summary(self) -> &'static str {
         match self {
             Self::Steady => "throughput and added latency beside a direct call",
+            Self::Takeover => "owners and their upstreams killed, log up",
+            Self::TakeoverLogDown => "owners and their upstreams killed, log down",
+            Self::Freeze => "owners frozen for 0.3, 1 and 5 s while requests flow",
+            Self::LogTrouble => "log down for 60 s, slow, and losing answers",
+            Self::Orders => "orders repeated while owners are killed, frozen and answers lost",
         }
     }
 
@@ -65,6 +100,13 @@
     pub async fn run(self, context: &RunContext) -> eyre::Result<ExperimentResult> {
         match self {
             Self::Steady => steady::run(context).await,
+            Self::Takeover => takeover::run(context, self.as_str(), LogCondition::Up).await,
+            Self::TakeoverLogDown => {
+                takeover::run(context, self.as_str(), LogCondition::Down).await
+            }
+            Self::Freeze => freeze::run(context).await,
+            Self::LogTrouble => log_trouble::run(context).await,
+            Self::Orders => orders::run(context).await,
         }
     }
 }
--- a/crates/winch-bench/src/experiments/steady.rs
+++ b/crates/winch-bench/src/experiments/steady.rs
@@ -14,6 +14,7 @@
 use super::support::add_summary;
 use super::support::declarations;
 use super::support::keys_of;
+use super::support::merge_promises;
 use super::support::service_keys;
 use super::support::start_fleet;
 use super::support::warm_up_fleet;
@@ -260,14 +261,3 @@
         result.figure(format!("{prefix}.not_sent"), self.load.not_sent as f64);
     }
 }
-
-/// Adds the promises of one part of the experiment, under its name.
-fn merge_promises(result: &mut ExperimentResult, part: &ExperimentResult, prefix: &str) {
-    for bound in &part.bounds {
-        let value = part.figures[&bound.figure];
-        result.at_most(format!("{prefix}.{}", bound.figure), value, bound.limit);
-    }
-    for note in &part.notes {
-        result.note(format!("{prefix}: {note}"));
-    }
-}
--- a/crates/winch-bench/src/experiments/support.rs
+++ b/crates/winch-bench/src/experiments/support.rs
@@ -182,6 +182,17 @@
     Ok(())
 }
 
+/// Adds the promises of one part of the experiment, under its name.
+pub(super) fn merge_promises(result: &mut ExperimentResult, part: &ExperimentResult, prefix: &str) {
+    for bound in &part.bounds {
+        let value = part.figures[&bound.figure];
+        result.at_most(format!("{prefix}.{}", bound.figure), value, bound.limit);
+    }
+    for note in &part.notes {
+        result.note(format!("{prefix}: {note}"));
+    }
+}
+
 /// A window of time, in microseconds since the Unix epoch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct TimeWindow {
--- a/crates/winch-bench/src/load/generator.rs
+++ b/crates/winch-bench/src/load/generator.rs
@@ -65,6 +65,7 @@
                 tags: Arc::clone(&tags),
                 in_flight: Arc::default(),
                 records: sender.clone(),
+                turn: 0,
                 random: StdRng::seed_from_u64(seed.wrapping_add(index as u64)),
             };
             tasks.spawn(sender.run());
@@ -114,6 +115,8 @@
     tags: Arc<AtomicU64>,
     in_flight: Arc<AtomicUsize>,
     records: mpsc::UnboundedSender<RequestRecord>,
+    /// Index of the next key, when they are taken in turn.
+    turn: usize,
     random: StdRng,
 }
 
@@ -143,17 +146,28 @@
         not_sent
     }
 
+    fn next_key(&mut self) -> Box<str> {
+        let keys = &self.stream.keys;
+        let index = if self.stream.keys_in_turn {
+            self.turn += 1;
+            (self.turn - 1) % keys.len()
+        } else {
+            self.random.random_range(0..keys.len())
+        };
+        keys[index].clone()
+    }
+
     /// Sends one request. Returns whether there was room in flight.
     fn send_one(&mut self, due: u64) -> bool {
         if self.in_flight.load(Ordering::Relaxed) >= self.stream.in_flight {
             return false;
         }
         self.in_flight.fetch_add(1, Ordering::Relaxed);
-        let key = self.random.random_range(0..self.stream.keys.len());
+        let key = self.next_key();
         let request = CallerRequest {
             stream: self.index,
             tag: self.tags.fetch_add(1, Ordering::Relaxed),
-            key: self.stream.keys[key].clone(),
+            key,
             due,
             caller: self.random.random_range(0..self.clients.len()),
         };
--- a/crates/winch-bench/src/load/stream.rs
+++ b/crates/winch-bench/src/load/stream.rs
@@ -46,8 +46,11 @@
     pub rate: f64,
     /// Where they go.
     pub target: TrafficTarget,
-    /// The keys, drawn evenly.
+    /// The keys.
     pub keys: Arc<[Box<str>]>,
+    /// Whether keys are taken in turn; otherwise they are drawn evenly.
+    #[builder(default)]
+    pub keys_in_turn: bool,
     /// When the stream starts, from the start of the load.
     #[builder(default)]
     pub start: Duration,
