--- a/crates/winch-bench/src/commands/list.rs
+++ b/crates/winch-bench/src/commands/list.rs
@@ -6,7 +6,8 @@
 use winch_bench::experiments::ExperimentName;
 
 /// Arguments of `list`.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct ListArgs;
 
 /// Names the experiments.
--- a/crates/winch-bench/src/commands/run.rs
+++ b/crates/winch-bench/src/commands/run.rs
@@ -13,7 +13,8 @@
 const ALL: &str = "all";
 
 /// Arguments of `run`.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub struct RunArgs {
     /// Name of the experiment, or "all".
     name: Box<str>,
--- a/crates/winch-bench/src/fleet/harness.rs
+++ b/crates/winch-bench/src/fleet/harness.rs
@@ -38,7 +38,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// How a fleet differs from its deployment's defaults.
-#[derive(Debug, Clone, Builder)]
+#[derive(Debug, Clone)]
+#[derive(Builder)]
 pub struct FleetOptions {
     /// The deployment.
     pub deployment: DeploymentSize,
--- a/crates/winch-bench/src/fleet/settings.rs
+++ b/crates/winch-bench/src/fleet/settings.rs
@@ -7,7 +7,8 @@
 use serde::Serialize;
 
 /// Where a node listens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct NodeAddresses {
     /// Callers' HTTP.
     pub callers: SocketAddr,
@@ -20,21 +21,24 @@
 }
 
 /// The log's settings.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct LogAddress {
     /// Base URL.
     pub address: Box<str>,
 }
 
 /// Logging of a node.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct NodeLogging {
     /// Least severe level.
     pub level: &'static str,
 }
 
 /// The settings that an experiment gives; the rest are defaults.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct NodeSettingsFile {
     /// Name of the node.
     pub node: Box<str>,
--- a/crates/winch-bench/src/load/stream.rs
+++ b/crates/winch-bench/src/load/stream.rs
@@ -31,7 +31,8 @@
 }
 
 /// Requests of one kind, sent at a constant rate.
-#[derive(Debug, Clone, Builder)]
+#[derive(Debug, Clone)]
+#[derive(Builder)]
 pub struct TrafficStream {
     /// Name, as reports show it.
     #[builder(into)]
--- a/crates/winch-bench/src/main.rs
+++ b/crates/winch-bench/src/main.rs
@@ -11,14 +11,16 @@
 use commands::run;
 
 /// Load and failure experiments against real processes.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 #[command(version)]
 struct BenchArgs {
     #[command(subcommand)]
     command: BenchCommand,
 }
 
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 enum BenchCommand {
     /// Names the experiments.
     List(list::ListArgs),
--- a/crates/winch-bench/src/results/mod.rs
+++ b/crates/winch-bench/src/results/mod.rs
@@ -12,7 +12,8 @@
 pub use table::print_result;
 
 /// Whether every bound was met.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum RunVerdict {
     /// Every bound was met.
@@ -22,7 +23,8 @@
 }
 
 /// How a figure relates to its bound.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum BoundKind {
     /// The figure is at most the limit.
@@ -32,7 +34,8 @@
 }
 
 /// A stated target for a figure.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct FigureBound {
     /// Name of the figure.
     pub figure: Box<str>,
@@ -45,7 +48,8 @@
 }
 
 /// What one run of an experiment measured. Names of figures end in their unit.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ExperimentResult {
     /// Name of the experiment.
     pub experiment: Box<str>,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,10 +1,16 @@
 //! The integration test program: one module per feature.
 
+mod admission_scheduler;
 mod bench_checks;
 mod declarations;
 mod delivery;
 mod error_table;
 mod fold;
+mod operator_api;
+mod ownership_certificate;
+mod ownership_gate;
+mod ownership_lease;
+mod ownership_succession;
 mod settings;
 mod standins;
 mod telemetry;
