--- a/crates/winch-bench/src/experiments/mod.rs
+++ b/crates/winch-bench/src/experiments/mod.rs
@@ -1,6 +1,7 @@
 //! The experiments, one module each. [`support`] and [`probe`] hold what they
 //! share.
 
+mod flood;
 mod freeze;
 mod log_trouble;
 mod orders;
@@ -15,6 +16,7 @@
 
 use crate::results::ExperimentResult;
 
+use flood::FloodKind;
 use takeover::LogCondition;
 
 /// One experiment.
@@ -32,6 +34,12 @@
     LogTrouble,
     /// Orders while everything goes wrong.
     Orders,
+    /// Mixed load near capacity.
+    Classes,
+    /// A flood of the least urgent work.
+    FloodLow,
+    /// A flood of lookups.
+    FloodHigh,
 }
 
 /// What every experiment is given.
@@ -47,13 +55,16 @@
 
 impl ExperimentName {
     /// Every experiment, in the order of `run all`.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 9] = [
         Self::Steady,
         Self::Takeover,
         Self::TakeoverLogDown,
         Self::Freeze,
         Self::LogTrouble,
         Self::Orders,
+        Self::Classes,
+        Self::FloodLow,
+        Self::FloodHigh,
     ];
 
     /// Returns the name.
@@ -65,6 +76,9 @@
             Self::Freeze => "freeze",
             Self::LogTrouble => "log-trouble",
             Self::Orders => "orders",
+            Self::Classes => "classes",
+            Self::FloodLow => "flood-low",
+            Self::FloodHigh => "flood-high",
         }
     }
 
@@ -77,6 +91,9 @@
             Self::Freeze => "owners frozen for 0.3, 1 and 5 s while requests flow",
             Self::LogTrouble => "log down for 60 s, slow, and losing answers",
             Self::Orders => "orders repeated while owners are killed, frozen and answers lost",
+            Self::Classes => "mixed load at 95 % of an owner's capacity",
+            Self::FloodLow => "work that may wait at 10 times an owner's capacity",
+            Self::FloodHigh => "lookups at 10 times an owner's capacity",
         }
     }
 
@@ -107,6 +124,9 @@
             Self::Freeze => freeze::run(context).await,
             Self::LogTrouble => log_trouble::run(context).await,
             Self::Orders => orders::run(context).await,
+            Self::Classes => flood::run(context, self.as_str(), FloodKind::Classes).await,
+            Self::FloodLow => flood::run(context, self.as_str(), FloodKind::Low).await,
+            Self::FloodHigh => flood::run(context, self.as_str(), FloodKind::High).await,
         }
     }
 }
