--- a/crates/winch-bench/src/checks/ledger.rs
+++ b/crates/winch-bench/src/checks/ledger.rs
@@ -75,7 +75,8 @@
     }
 }
 
-/// Checks the promises. `ledgers` holds one list for each upstream that ran.
+/// Checks the promises. `ledgers` holds one list for each node, over all starts
+/// of its upstream.
 pub fn check_promises(records: &[RequestRecord], ledgers: &[Vec<LedgerEntry>]) -> PromiseReport {
     let mut report = PromiseReport {
         orders: ledgers.iter().map(|ledger| ledger.len() as u64).sum(),
--- a/crates/winch-bench/src/fleet/harness.rs
+++ b/crates/winch-bench/src/fleet/harness.rs
@@ -316,17 +316,14 @@
             .collect()
     }
 
-    /// Reads the ledger of every start of every upstream.
+    /// Reads each node's ledger, over all starts of its upstream. Slices are
+    /// named with their service.
     ///
     /// # Errors
     ///
     /// When a ledger's file cannot be read.
     pub fn ledgers(&self) -> eyre::Result<Vec<Vec<LedgerEntry>>> {
-        self.nodes
-            .iter()
-            .flat_map(|node| &node.ledger_files)
-            .map(|file| read_ledger_file(file))
-            .collect()
+        self.nodes.iter().map(FleetNode::ledger).collect()
     }
 
     /// Switches faults of the log.
@@ -377,6 +374,17 @@
 }
 
 impl FleetNode {
+    fn ledger(&self) -> eyre::Result<Vec<LedgerEntry>> {
+        let mut ledger = Vec::new();
+        for file in &self.ledger_files {
+            ledger.append(&mut read_ledger_file(file)?);
+        }
+        for entry in &mut ledger {
+            entry.slice = format!("{}/{}", self.service.name, entry.slice).into();
+        }
+        Ok(ledger)
+    }
+
     /// Starts the upstream again after it has ended, with a ledger of its own.
     ///
     /// # Errors
