delivery: run orders that are not idempotent at most once

Cause: a repetition of an order ran again, and a takeover forgot what had run.

Change: OutcomeTable, a pure slice bounded by age, count and bytes: a repetition joins the running attempt or gets the stored outcome; one that the table does not know runs only if the chain's record has been complete for the whole memory, which a new tenure or an eviction resets and a planned hand over keeps. An exported chain runs nothing more under its epoch, and an imported one counts for one epoch alone. OutcomeStore shards the table and hands out claims, which are settled also when nobody waits any more; an order is cancelled at the upstream only if no repetition waits for it, and not dispatched under another epoch than it was claimed under.

--- a/src/delivery/owner.rs
+++ b/src/delivery/owner.rs
@@ -18,9 +18,14 @@
 use super::classes::ClassFacts;
 use super::classes::ClassTable;
 use super::failure;
+use super::handover::ChainOutcomes;
 use super::message::OrderRequest;
 use super::message::OrderResult;
 use super::message::UpstreamAnswer;
+use super::outcome_store::OrderClaim;
+use super::outcome_store::OutcomeClaim;
+use super::outcome_store::OutcomeStore;
+use super::outcome_store::ResultReceiver;
 use super::retry::RetryBudget;
 use super::retry::backoff;
 use super::running::RunningOrder;
@@ -35,9 +40,11 @@
 use crate::base::error::ErrorKind;
 use crate::base::error::RequestOutcome;
 use crate::base::hash::hash_key;
+use crate::base::ids::Epoch;
 use crate::base::timer::TimerService;
 use crate::declarations::ClassDeclaration;
 use crate::ownership::gate::OwnershipGate;
+use crate::state::record::ChainKey;
 use crate::state::record::UpstreamInfo;
 use crate::upstream::announce::UpstreamWatch;
 use crate::upstream::http::HttpUpstream;
@@ -60,6 +67,7 @@
     classes: ArcSwap<ClassTable>,
     declared: watch::Sender<Arc<[ClassDeclaration]>>,
     budget: RetryBudget,
+    outcomes: Arc<OutcomeStore>,
     orders: TaskTracker,
     draining: AtomicBool,
     next_order: AtomicU64,
@@ -72,6 +80,8 @@
     class: ClassTag,
     facts: ClassFacts,
     deadline: Option<Instant>,
+    /// What records the outcome of an order that must not run twice.
+    claim: Option<Arc<OutcomeClaim>>,
 }
 
 impl OrderContext {
@@ -86,6 +96,7 @@
     pub fn new(gate: G, upstream: U, announced: UpstreamWatch, settings: OwnerSettings) -> Self {
         let info = Arc::new(ArcSwapOption::empty());
         let queue = AdmissionQueue::start(TimerService);
+        let outcomes = Arc::new(OutcomeStore::new(settings.outcome_bounds()));
         let (declared, declarations) = watch::channel(Arc::default());
         tokio::spawn(follow_upstream(announced, Arc::clone(&info), queue.clone()));
         tokio::spawn(follow_classes(declarations, queue.clone()));
@@ -98,6 +109,7 @@
             classes: ArcSwap::from_pointee(ClassTable::default()),
             declared,
             budget: RetryBudget::new(),
+            outcomes,
             orders: TaskTracker::new(),
             draining: AtomicBool::new(false),
             next_order: AtomicU64::new(1),
@@ -158,6 +170,7 @@
             class,
             facts,
             deadline: remaining.map(|remaining| Instant::now() + remaining),
+            claim: None,
         }
     }
 
@@ -168,13 +181,61 @@
                 "the process is leaving",
             ));
         }
-        self.gate
+        let token = self
+            .gate
             .admit(&context.request.chain)
             .map_err(failure::gate_refusal)?;
         self.budget.deposit();
+        let request = &context.request;
+        let repeated = request.idempotency_key.is_some() || request.attempt > 1;
+        if repeated && !context.facts.idempotent {
+            return self.run_claimed(context, token.epoch, started).await;
+        }
         self.run_attempts(&context, started).await
     }
 
+    /// Runs an order that must not run twice, or waits for the attempt that
+    /// does.
+    async fn run_claimed(
+        &self,
+        mut context: OrderContext,
+        epoch: Epoch,
+        started: &AtomicBool,
+    ) -> OrderResult {
+        let mut proven = 0;
+        loop {
+            match self.outcomes.claim(&context.request, epoch, proven) {
+                OrderClaim::Known(result) => return result,
+                OrderClaim::Run(claim) => {
+                    context.claim = Some(Arc::clone(&claim));
+                    let result = self.run_attempts(&context, started).await;
+                    claim.settle(&result);
+                    return result;
+                }
+                OrderClaim::Join { result, number } => {
+                    if let Some(result) = join_order(result, started).await {
+                        return result;
+                    }
+                    // It was let run, so the attempts before it had not run
+                    // either.
+                    proven = number;
+                }
+            }
+        }
+    }
+
+    /// Hands over what is known of a chain's orders, and runs none of them
+    /// under this epoch any more.
+    pub fn export_outcomes(&self, chain: &ChainKey, epoch: Epoch) -> ChainOutcomes {
+        self.outcomes.export(chain, epoch)
+    }
+
+    /// Takes over what the previous owner of a chain handed over, for the
+    /// tenure of `epoch` alone.
+    pub fn import_outcomes(&self, chain: &ChainKey, epoch: Epoch, outcomes: ChainOutcomes) {
+        self.outcomes.import(chain, epoch, outcomes);
+    }
+
     /// Runs an order, and again as far as that is safe and within the budget.
     async fn run_attempts(&self, context: &OrderContext, started: &AtomicBool) -> OrderResult {
         let mut retries = 0;
@@ -244,6 +305,13 @@
             .gate
             .admit(&context.request.chain)
             .map_err(failure::gate_refusal)?;
+        let claim = context.claim.clone();
+        if claim
+            .as_ref()
+            .is_some_and(|claim| claim.epoch() != token.epoch)
+        {
+            return Err(failure::gate_refusal(ErrorKind::NotOwner));
+        }
         let order = UpstreamOrder {
             info: Arc::clone(&info),
             request: Arc::clone(&context.request),
@@ -257,23 +325,32 @@
         let upstream = self.upstream.clone();
         let call = self.upstream.run(order);
         let counted = self.orders.token();
+        if let Some(claim) = &claim {
+            claim.set_started(true);
+        }
         permit.begin();
+        let joined = claim.clone();
         let run = async move {
             let result = call.await;
             permit.finish(slot_verdict(&result));
+            let result = result.map_err(failure::call_failure);
+            if let Some(claim) = claim {
+                record_outcome(&claim, &result);
+            }
             drop(counted);
             result
         };
         let cancel = move || async move {
-            if info.accepts_cancel {
+            let wanted = joined.is_some_and(|claim| claim.has_joined());
+            if info.accepts_cancel && !wanted {
                 upstream.cancel(info, id).await;
             }
         };
         let result = RunningOrder::new(run, cancel, longest).await;
-        if let Err(CallError::NotSent | CallError::Refused) = result {
+        if is_not_run(&result) {
             started.store(before, Ordering::Release);
         }
-        result.map_err(failure::call_failure)
+        result
     }
 
     fn next_order_id(&self) -> Box<str> {
@@ -291,6 +368,44 @@
     }
 }
 
+/// Records the outcome of a dispatch, also when nobody waits for it any more.
+/// One that is proven not to have run may be followed by another.
+fn record_outcome(claim: &OutcomeClaim, result: &OrderResult) {
+    if is_not_run(result) {
+        claim.set_started(false);
+    } else {
+        claim.settle(result);
+    }
+}
+
+fn is_not_run(result: &OrderResult) -> bool {
+    let failed = result.as_ref().err();
+    failed.is_some_and(|failed| failed.kind.answer().outcome == RequestOutcome::NotRun)
+}
+
+/// Waits for the running attempt of an order. None if that was given up by its
+/// own caller before it was started: then the order is free to run.
+async fn join_order(mut receiver: ResultReceiver, started: &AtomicBool) -> Option<OrderResult> {
+    // From here on the order may run without this caller's doing.
+    started.store(true, Ordering::Release);
+    let ended = receiver.wait_for(Option::is_some).await;
+    let result = ended.ok().and_then(|result| result.clone());
+    let given_up = match &result {
+        Some(Err(failed)) => matches!(
+            failed.kind,
+            ErrorKind::Cancelled | ErrorKind::DeadlineBeforeStart
+        ),
+        Some(Ok(_)) => false,
+        None => true,
+    };
+    if given_up {
+        // Proof of "not run": the attempt told so.
+        started.store(false, Ordering::Release);
+        return None;
+    }
+    result
+}
+
 async fn follow_upstream(
     mut announced: UpstreamWatch,
     info: Arc<ArcSwapOption<UpstreamInfo>>,
--- a/src/delivery/settings.rs
+++ b/src/delivery/settings.rs
@@ -4,6 +4,7 @@
 
 use bon::Builder;
 
+use super::outcome_table::OutcomeBounds;
 use crate::base::ids::Incarnation;
 
 /// How long outcomes are kept unless set otherwise.
@@ -29,3 +30,14 @@
     #[builder(default = OUTCOME_BYTES)]
     pub outcome_bytes: usize,
 }
+
+impl OwnerSettings {
+    /// Returns the bounds of the outcome table.
+    pub fn outcome_bounds(&self) -> OutcomeBounds {
+        OutcomeBounds {
+            memory: self.outcome_memory,
+            entries: self.outcome_entries,
+            bytes: self.outcome_bytes,
+        }
+    }
+}
