--- a/src/node/datagrams.rs
+++ b/src/node/datagrams.rs
@@ -40,7 +40,8 @@
 }
 
 /// A datagram while it is sent, without a copy of what it holds.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 enum SentDatagram<'a> {
     Ownership(&'a OwnershipMessage),
     Heartbeat(PlannerHeartbeat),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,8 +6,10 @@
 //!
 //! [`datagrams`] hands each datagram to its part, [`handler`] counts what runs
 //! for each chain, [`inputs`] tells the parts what changed, [`membership`]
-//! joins and leaves, and [`local`] serves the upstream and the VM's own tools.
+//! joins and leaves, [`backend`] answers operators, and [`local`] serves the
+//! upstream and the VM's own tools.
 
+pub mod backend;
 pub mod datagrams;
 pub mod handler;
 pub mod identity;
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -14,6 +14,8 @@
 use xtra::Handler;
 use xtra::Mailbox;
 
+use super::backend::NodeBackend;
+use super::backend::follow_offsets;
 use super::datagrams::DatagramReceiver;
 use super::datagrams::NodeSender;
 use super::handler::NodeHandler;
@@ -97,6 +99,7 @@
     callers: TcpListener,
     peers: TcpListener,
     local: TcpListener,
+    operators: TcpListener,
     datagrams: DatagramSocket,
 }
 
@@ -107,6 +110,7 @@
             callers: bind("callers", addresses.callers).await?,
             peers: bind("peers", addresses.peers).await?,
             local: bind("local", addresses.local).await?,
+            operators: bind("operators", addresses.operators).await?,
             datagrams: DatagramSocket::bind(addresses.peers)
                 .await
                 .wrap_err_with(|| cannot_bind("peers", addresses.peers))?,
@@ -188,7 +192,7 @@
                 .build(),
         );
         let writer = start_writer(
-            log,
+            log.clone(),
             follower.clone(),
             own,
             WriterSettings::builder()
@@ -275,6 +279,22 @@
                 .resigns(resigns)
                 .build(),
         );
+        let (offsets_sender, offsets) = watch::channel(0);
+        tasks.spawn(until(
+            stop.clone(),
+            follow_offsets(inputs.clone(), offsets_sender),
+        ));
+        let backend = NodeBackend::builder()
+            .node(settings.node.clone())
+            .own(own)
+            .log(log)
+            .writer(writer.clone())
+            .follower(follower.clone())
+            .inputs(inputs.clone())
+            .offsets(offsets)
+            .metrics(metrics.clone())
+            .build();
+        tasks.spawn(serve_operators(listeners.operators, backend, stop.clone()));
         let planner: Address<NodePlanner> = spawn_actor(PlannerActor::new(own, writer, sender));
 
         tasks.spawn(until(stop.clone(), tick_leases(lease.clone())));
@@ -396,6 +416,16 @@
     xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX))
 }
 
+async fn serve_operators(
+    listener: TcpListener,
+    backend: NodeBackend<HttpLogService>,
+    stop: CancellationToken,
+) {
+    if let Err(error) = crate::operator::server::serve(listener, backend, stop).await {
+        log::error!("operator: cannot serve: {error}");
+    }
+}
+
 /// Runs a task until it ends or `stop` fires.
 async fn until(stop: CancellationToken, task: impl Future<Output = ()>) {
     tokio::select! {
