--- a/src/node/local.rs
+++ b/src/node/local.rs
@@ -30,11 +30,9 @@
         .await;
 }
 
-/// A process is ready when it can route: it has folded declarations and is not
-/// leaving.
+/// A process is ready while its lease is live and it is not leaving.
 fn readiness(inputs: &NodeInputs) -> StatusCode {
-    let is_ready = !inputs.state.objects.is_empty() && !inputs.is_leaving;
-    if is_ready {
+    if inputs.view.lease_live && !inputs.is_leaving {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
