--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`base`]: identifiers, hashing, time and the closed list of error kinds.
 //! * [`declarations`]: what operators declare.
 //! * [`handover`]: planned moves of chains.
+//! * [`hotkeys`]: keys that are too hot for their slice.
 //! * [`log`]: the client of the platform's log.
 //! * [`state`]: the records of the log and the state folded from them.
 //! * [`ownership`]: leases, witnesses, certificates and succession.
@@ -31,6 +32,7 @@
 pub mod delivery;
 pub mod entry;
 pub mod handover;
+pub mod hotkeys;
 pub mod log;
 pub mod node;
 pub mod operator;
--- a/src/node/datagrams.rs
+++ b/src/node/datagrams.rs
@@ -16,6 +16,7 @@
 use crate::handover::coordinator::HandoverDelivery;
 use crate::handover::coordinator::HandoverMessage;
 use crate::handover::coordinator::HandoverSender;
+use crate::hotkeys::report::LoadSummary;
 use crate::log::follower::FollowerHandle;
 use crate::ownership::actor::DatagramSender;
 use crate::ownership::actor::Deliver;
@@ -37,6 +38,8 @@
     Handover(HandoverMessage),
     /// The log has entries below this offset: worth a read.
     LogHint(Offset),
+    /// An owner's load, for the planner.
+    Load(LoadSummary),
 }
 
 /// A datagram while it is sent, without a copy of what it holds.
@@ -47,6 +50,7 @@
     Heartbeat(PlannerHeartbeat),
     Handover(HandoverMessage),
     LogHint(Offset),
+    Load(&'a LoadSummary),
 }
 
 /// Sends the datagrams of every part.
@@ -74,6 +78,22 @@
     }
 }
 
+impl NodeSender {
+    /// Tells the planner an owner's load. Without a planner it is lost.
+    pub fn report_load(&self, summary: &LoadSummary) {
+        let planner = {
+            let state = &self.inputs.borrow().state;
+            let planner = state
+                .planner
+                .and_then(|planner| state.members.get(&planner));
+            planner.map(|member| member.info.peer_address)
+        };
+        if let Some(address) = planner {
+            self.socket.send(address, &SentDatagram::Load(summary));
+        }
+    }
+}
+
 impl DatagramSender for NodeSender {
     fn send(&self, to: SocketAddr, message: &OwnershipMessage) {
         self.socket.send(to, &SentDatagram::Ownership(message));
@@ -122,7 +142,7 @@
 impl<O, P, H> DatagramReceiver<O, P, H>
 where
     O: Handler<Deliver>,
-    P: Handler<PlannerHeartbeat>,
+    P: Handler<PlannerHeartbeat> + Handler<LoadSummary>,
     H: Handler<HandoverDelivery>,
 {
     /// Receives until `stop` fires.
@@ -158,6 +178,7 @@
                 drop(self.handover.send(HandoverDelivery(message)).detach().await);
             }
             NodeDatagram::LogHint(end) => self.follower.nudge(end),
+            NodeDatagram::Load(summary) => drop(self.planner.send(summary).detach().await),
         }
     }
 }
--- a/src/node/handler.rs
+++ b/src/node/handler.rs
@@ -11,6 +11,7 @@
 use crate::delivery::message::OrderResult;
 use crate::delivery::owner::OwnerService;
 use crate::handover::activity::ChainActivity;
+use crate::hotkeys::report::KeySampler;
 use crate::ownership::gate::OwnershipGate;
 use crate::state::record::ChainSubject;
 use crate::transport::server::OrderHandler;
@@ -21,6 +22,7 @@
     gate: G,
     owner: Arc<OwnerService<G>>,
     activity: ChainActivity,
+    sampler: KeySampler,
 }
 
 impl<G: OwnershipGate> Clone for NodeHandler<G> {
@@ -29,17 +31,24 @@
             gate: self.gate.clone(),
             owner: Arc::clone(&self.owner),
             activity: self.activity.clone(),
+            sampler: self.sampler.clone(),
         }
     }
 }
 
 impl<G: OwnershipGate> NodeHandler<G> {
     /// Creates the handler.
-    pub fn new(gate: G, owner: Arc<OwnerService<G>>, activity: ChainActivity) -> Self {
+    pub fn new(
+        gate: G,
+        owner: Arc<OwnerService<G>>,
+        activity: ChainActivity,
+        sampler: KeySampler,
+    ) -> Self {
         Self {
             gate,
             owner,
             activity,
+            sampler,
         }
     }
 }
@@ -49,6 +58,7 @@
         if order.chain.subject == ChainSubject::Any {
             return self.owner.handle(order, cancelled).await;
         }
+        self.sampler.count(&order.chain.service, &order.key);
         let token = match self.gate.admit(&order.chain) {
             Ok(token) => token,
             Err(kind) => {
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -41,6 +41,9 @@
 use crate::handover::coordinator::HandoverInputs;
 use crate::handover::coordinator::HandoverTick;
 use crate::handover::coordinator::ReadinessSource;
+use crate::hotkeys::report::KeySampler;
+use crate::hotkeys::report::QUIET_INTERVALS;
+use crate::hotkeys::report::REPORT_INTERVAL;
 use crate::log::follower::FollowerSettings;
 use crate::log::follower::start_follower;
 use crate::log::http::HttpLogService;
@@ -235,7 +238,12 @@
                 .build(),
         ));
         let activity = ChainActivity::default();
-        let handler = NodeHandler::new(gate, Arc::clone(&owner), activity.clone());
+        let sampler = KeySampler::default();
+        let handler = NodeHandler::new(gate, Arc::clone(&owner), activity.clone(), sampler.clone());
+        tasks.spawn(until(
+            stop.clone(),
+            report_load(own, sampler, sender.clone()),
+        ));
 
         let routes = RoutePublisher::default();
         tasks.spawn(until(
@@ -426,6 +434,24 @@
     }
 }
 
+/// Reports load to the planner: often while there are hot keys.
+async fn report_load(own: Incarnation, sampler: KeySampler, sender: NodeSender) {
+    let mut ticks = TimerService.subscribe(REPORT_INTERVAL);
+    let mut quiet = 0;
+    loop {
+        let tick = ticks.next().await;
+        let summary = sampler.summarise(own, tick.since_last);
+        quiet = if summary.keys.is_empty() {
+            quiet + 1
+        } else {
+            0
+        };
+        if quiet % QUIET_INTERVALS == 0 {
+            sender.report_load(&summary);
+        }
+    }
+}
+
 /// Runs a task until it ends or `stop` fires.
 async fn until(stop: CancellationToken, task: impl Future<Output = ()>) {
     tokio::select! {
--- a/src/planner/actor.rs
+++ b/src/planner/actor.rs
@@ -15,12 +15,17 @@
 use super::candidate::WATCHING_CANDIDATES;
 use super::candidate::claim_after;
 use super::candidate::ranked_candidates;
+use super::placement::candidates;
 use super::plan::PlanInputs;
 use super::plan::plan;
 use crate::base::collections::FastSet;
 use crate::base::ids::Incarnation;
 use crate::base::ids::Offset;
 use crate::base::ids::Term;
+use crate::declarations::Declaration;
+use crate::hotkeys::board::KeyMove;
+use crate::hotkeys::board::LoadBoard;
+use crate::hotkeys::report::LoadSummary;
 use crate::log::service::LogService;
 use crate::log::writer::WriterHandle;
 use crate::state::folded::FoldedState;
@@ -35,6 +40,9 @@
 /// How long an append may take before the planner plans anew.
 const APPEND_LIMIT: Duration = Duration::from_secs(5);
 
+/// How often hot keys are looked for; longer than an owner's report interval.
+const HOT_KEY_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Planned moves that may be under way at once for each service.
 const MOVE_BUDGET: usize = 64;
 
@@ -72,6 +80,9 @@
     first_unsettled: Option<Instant>,
     /// Offset of the state that the last plan was made from.
     planned: Option<(Offset, usize)>,
+    board: LoadBoard,
+    hot_keys_chosen: Instant,
+    started: Instant,
 }
 
 /// The folded state, or what is known of ended members, changed.
@@ -110,6 +121,9 @@
             last_join: now,
             first_unsettled: None,
             planned: None,
+            board: LoadBoard::default(),
+            hot_keys_chosen: now,
+            started: now,
         }
     }
 
@@ -140,8 +154,10 @@
 
     fn plan(&mut self, now: Instant, address: &WeakAddress<Self>) {
         self.send_heartbeats(now);
+        let hot_keys = self.choose_hot_keys(now);
         let basis = (self.state.next, self.ended.len());
-        if self.planned == Some(basis) || !self.is_settled(now) {
+        let is_planned = self.planned == Some(basis) && hot_keys.is_empty();
+        if is_planned || !self.is_settled(now) {
             return;
         }
         self.planned = Some(basis);
@@ -150,6 +166,7 @@
             ended: &self.ended,
             term: self.state.term,
             move_budget: MOVE_BUDGET,
+            hot_keys: &hot_keys,
         };
         let records = plan(inputs);
         if !records.is_empty() {
@@ -157,6 +174,26 @@
         }
     }
 
+    /// Chooses keys of overloaded owners every [`HOT_KEY_INTERVAL`].
+    fn choose_hot_keys(&mut self, now: Instant) -> Vec<KeyMove> {
+        if now.duration_since(self.hot_keys_chosen) < HOT_KEY_INTERVAL {
+            return Vec::new();
+        }
+        self.hot_keys_chosen = now;
+        let mut moves = Vec::new();
+        for object in self.state.objects.values() {
+            let Some(Declaration::Service(service)) = &object.declaration else {
+                continue;
+            };
+            let members: Vec<Incarnation> = candidates(&self.state, &service.name, &self.ended)
+                .iter()
+                .map(|candidate| candidate.incarnation)
+                .collect();
+            moves.extend(self.board.choose_moves(&service.name, &members));
+        }
+        moves
+    }
+
     fn send_heartbeats(&mut self, now: Instant) {
         if now.duration_since(self.heartbeat_sent) < HEARTBEAT_INTERVAL {
             return;
@@ -278,3 +315,11 @@
         self.work(&ctx.mailbox().address());
     }
 }
+
+impl<L: LogService, S: HeartbeatSender> Handler<LoadSummary> for PlannerActor<L, S> {
+    type Return = ();
+
+    async fn handle(&mut self, message: LoadSummary, _ctx: &mut Context<Self>) {
+        self.board.note(message, self.started.elapsed());
+    }
+}
--- a/src/planner/plan.rs
+++ b/src/planner/plan.rs
@@ -15,6 +15,7 @@
 use crate::base::ids::Term;
 use crate::declarations::Declaration;
 use crate::declarations::ServiceDeclaration;
+use crate::hotkeys::board::KeyMove;
 use crate::state::folded::FoldedState;
 use crate::state::folded::HolderChain;
 use crate::state::record::ChainAppend;
@@ -25,6 +26,9 @@
 /// Successors that a chain has behind its owner.
 pub const SUCCESSOR_COUNT: usize = 2;
 
+/// Single keys that a service may have out of their slices.
+const MAX_EXCEPTIONS: usize = 128;
+
 /// Appends in one record at most.
 const APPENDS_PER_RECORD: usize = 512;
 
@@ -39,6 +43,8 @@
     pub term: Term,
     /// Planned moves that may be under way at once.
     pub move_budget: usize,
+    /// Keys to take out of their slices.
+    pub hot_keys: &'a [KeyMove],
 }
 
 /// Returns the records that bring the fleet closer to its bounds; none when
@@ -141,11 +147,51 @@
         .map(|key| PlannedChain::new(inputs, key))
         .collect();
     let owners = new_owners(&chains, &candidates, inputs.move_budget);
+    let hot_keys = plan_hot_keys(inputs, service, &candidates);
     let appends = chains.iter().enumerate().filter_map(|(index, chain)| {
         let owner = owners.get(&index).copied();
         plan_chain(chain, owner, &candidates)
     });
-    appends.collect()
+    let is_hot = |append: &ChainAppend| hot_keys.iter().any(|hot| hot.chain == append.chain);
+    let mut appends: Vec<ChainAppend> = appends.filter(|append| !is_hot(append)).collect();
+    appends.extend(hot_keys);
+    appends
+}
+
+/// Takes hot keys out of their slices, as planned moves.
+fn plan_hot_keys(
+    inputs: PlanInputs<'_>,
+    service: &ServiceDeclaration,
+    candidates: &[PlacementCandidate],
+) -> Vec<ChainAppend> {
+    let exceptions = chain_keys(inputs, service).count() - usize::from(service.slices);
+    let room = MAX_EXCEPTIONS.saturating_sub(exceptions);
+    let moves = inputs
+        .hot_keys
+        .iter()
+        .filter(|hot| hot.key.service == service.name);
+    moves
+        .take(room)
+        .filter_map(|hot| {
+            let chain = ChainKey {
+                service: service.name.clone(),
+                subject: ChainSubject::Key(hot.key.key),
+            };
+            let mut holders = vec![hot.owner];
+            holders.extend(choose_successors(
+                chain_hash(&chain),
+                candidates,
+                &holders,
+                SUCCESSOR_COUNT,
+            ));
+            Some(ChainAppend {
+                at: inputs.state.tail_of(&chain)?,
+                chain,
+                holders,
+                supersedes: true,
+            })
+        })
+        .collect()
 }
 
 fn chain_keys(
