--- a/src/log/follower.rs
+++ b/src/log/follower.rs
@@ -20,6 +20,8 @@
 use super::service::LogEntry;
 use super::service::LogPage;
 use super::service::LogService;
+use super::snapshots::SnapshotStatus;
+use super::snapshots::SnapshotTracker;
 use crate::base::collections::FastMap;
 use crate::base::ids::Incarnation;
 use crate::base::ids::Offset;
@@ -74,6 +76,7 @@
     states: watch::Sender<Arc<FoldedState>>,
     waiting: FastMap<(Incarnation, Sequence), oneshot::Sender<Vec<FoldEffect>>>,
     counters: FollowerCounters,
+    snapshots: SnapshotTracker,
     nudge: Arc<Notify>,
 }
 
@@ -81,8 +84,9 @@
 #[derive(Debug)]
 pub(super) struct FoldPage(pub(super) LogPage);
 
+/// Takes a state if it is newer; tells whether it was taken.
 #[derive(Debug)]
-struct InstallState(FoldedState);
+pub(super) struct InstallState(pub(super) FoldedState);
 
 #[derive(Debug)]
 struct AwaitEffects {
@@ -93,6 +97,9 @@
 #[derive(Debug)]
 struct ReadCounters;
 
+#[derive(Debug)]
+struct ReadSnapshots;
+
 /// Starts to follow a log from `state`.
 ///
 /// The follower ends when the last handle is dropped.
@@ -110,6 +117,7 @@
         states: sender,
         waiting: FastMap::default(),
         counters: FollowerCounters::default(),
+        snapshots: SnapshotTracker::default(),
         nudge: Arc::clone(&nudge),
     };
     let address = xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX_CAPACITY));
@@ -170,6 +178,11 @@
         registered.unwrap_or_else(|_stopped| oneshot::channel().1)
     }
 
+    /// Returns what is known of snapshots in the log.
+    pub async fn snapshots(&self) -> SnapshotStatus {
+        self.address.send(ReadSnapshots).await.unwrap_or_default()
+    }
+
     /// Returns what was counted since the start.
     pub async fn counters(&self) -> FollowerCounters {
         self.address.send(ReadCounters).await.unwrap_or_default()
@@ -186,6 +199,8 @@
             Ok(batch) => {
                 let effects = state.apply(entry.offset, &batch);
                 self.counters.batches += 1;
+                self.snapshots
+                    .note(entry.offset, &batch, &effects, &self.state);
                 if let Some(waiter) = self.waiting.remove(&(batch.author, batch.sequence)) {
                     // The writer may have given up, which is no fault here.
                     let _ = waiter.send(effects);
@@ -245,6 +260,8 @@
             self.state.next
         );
         self.state = Arc::new(state);
+        // Markers between were not seen.
+        self.snapshots = SnapshotTracker::default();
         self.counters.installed += 1;
         self.drop_passed_waiters();
         self.publish();
@@ -276,3 +293,15 @@
         self.counters
     }
 }
+
+impl Handler<ReadSnapshots> for LogFollower {
+    type Return = SnapshotStatus;
+
+    async fn handle(
+        &mut self,
+        _message: ReadSnapshots,
+        _ctx: &mut Context<Self>,
+    ) -> SnapshotStatus {
+        self.snapshots.status()
+    }
+}
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -3,7 +3,9 @@
 //! [`service`] is the one trait behind which the platform's wire format stays,
 //! and [`http`] the one place that knows it. [`follower`] reads the log, folds
 //! it and publishes the state; [`writer`] appends this incarnation's records
-//! and answers once the follower has folded them.
+//! and answers once the follower has folded them. [`snapshot_keeper`] appends
+//! snapshots before the log drops what they hold, and [`search`] finds one
+//! when the beginning has been dropped.
 //!
 //! The log may be down, slow, or lose an answer after the write took effect.
 //! The writer therefore appends a batch again under the same sequence until it
@@ -17,5 +19,8 @@
 pub mod http;
 pub mod rate;
 mod reader;
+pub mod search;
 pub mod service;
+pub mod snapshot_keeper;
+pub mod snapshots;
 pub mod writer;
--- a/src/log/reader.rs
+++ b/src/log/reader.rs
@@ -11,7 +11,9 @@
 use super::backoff::RetryBackoff;
 use super::follower::FoldPage;
 use super::follower::FollowerSettings;
+use super::follower::InstallState;
 use super::follower::LogFollower;
+use super::search::find_snapshot;
 use super::service::LogError;
 use super::service::LogPage;
 use super::service::LogService;
@@ -50,6 +52,9 @@
             let started = Instant::now();
             let result = self.log.read(next, self.settings.page_limit).await;
             self.note_result(next, &result);
+            if let Err(LogError::Expired { earliest }) = result {
+                self.start_from_snapshot(earliest).await;
+            }
             let wait = self.wait_after(&result, started);
             let page = result.unwrap_or_else(|_error| LogPage {
                 entries: Vec::new(),
@@ -70,6 +75,24 @@
         follower.send(FoldPage(page)).await.ok()
     }
 
+    /// Hands the newest whole snapshot to the follower.
+    async fn start_from_snapshot(&self, earliest: Offset) {
+        match find_snapshot(&self.log, earliest, self.settings.page_limit).await {
+            Ok(Some(state)) => {
+                log::info!(
+                    "log: starts from the snapshot through offset {}",
+                    state.next
+                );
+                if let Some(follower) = self.follower.try_upgrade() {
+                    // An ended follower ends the reader at its next page.
+                    let _ = follower.send(InstallState(state)).await;
+                }
+            }
+            Ok(None) => log::error!("log: keeps no whole snapshot after offset {earliest}"),
+            Err(error) => log::warn!("log: cannot search for a snapshot: {error:?}"),
+        }
+    }
+
     /// Logs when the log goes down or comes back.
     fn note_result(&self, next: Offset, result: &Result<LogPage, LogError>) {
         let failures = self.backoff.failures();
--- /dev/null
+++ b/src/log/snapshot_keeper.rs
@@ -0,0 +1,140 @@
+//! Appends snapshots while this process holds the planner's term.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::batch::AppendError;
+use super::follower::FollowerHandle;
+use super::service::LogError;
+use super::service::LogService;
+use super::writer::WriterHandle;
+use crate::base::ids::Incarnation;
+use crate::base::ids::Offset;
+use crate::base::ids::Term;
+use crate::base::timer::TimerService;
+use crate::state::codec::CodecError;
+use crate::state::effect::FoldEffect;
+use crate::state::effect::IgnoreReason;
+use crate::state::folded::FoldedState;
+use crate::state::record::LogRecord;
+use crate::state::record::SnapshotChunk;
+use crate::state::retention::RetentionView;
+use crate::state::retention::SnapshotPolicy;
+use crate::state::retention::SnapshotSchedule;
+use crate::state::snapshot::CHUNK_BYTES;
+use crate::state::snapshot::snapshot_marker;
+use crate::state::snapshot::split_state;
+
+/// How often the schedule is checked.
+const CHECK_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Limit of one append of a snapshot.
+const APPEND_LIMIT: Duration = Duration::from_secs(30);
+
+/// Why a snapshot was not written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SnapshotError {
+    /// The log cannot be asked what it keeps.
+    Log(LogError),
+    /// A part was not confirmed.
+    Append(AppendError),
+    /// The fold ignored a part: the term was lost.
+    Ignored(IgnoreReason),
+    /// The state cannot be encoded.
+    Codec(CodecError),
+    /// The follower passed the marker without seeing it.
+    NoMarkedState,
+}
+
+/// Appends snapshots when they are due.
+#[derive(Debug)]
+pub struct SnapshotKeeper<L: LogService> {
+    log: L,
+    follower: FollowerHandle,
+    writer: WriterHandle<L>,
+    incarnation: Incarnation,
+    schedule: SnapshotSchedule,
+    started: Instant,
+}
+
+impl<L: LogService> SnapshotKeeper<L> {
+    /// Creates the keeper of an incarnation.
+    pub fn new(
+        log: L,
+        follower: FollowerHandle,
+        writer: WriterHandle<L>,
+        incarnation: Incarnation,
+        policy: SnapshotPolicy,
+    ) -> Self {
+        Self {
+            log,
+            follower,
+            writer,
+            incarnation,
+            schedule: SnapshotSchedule::new(policy, Duration::ZERO),
+            started: Instant::now(),
+        }
+    }
+
+    /// Checks the schedule on every tick, for good.
+    pub async fn run(mut self, timer: TimerService) {
+        let mut ticks = timer.subscribe(CHECK_INTERVAL);
+        loop {
+            ticks.next().await;
+            match self.check().await {
+                Ok(None) => {}
+                Ok(Some(through)) => log::info!("log: wrote a snapshot through offset {through}"),
+                Err(error) => log::warn!("log: cannot write a snapshot: {error:?}"),
+            }
+        }
+    }
+
+    /// Writes a snapshot if this process is the planner and one is due.
+    /// Returns the offset below which the snapshot holds every entry.
+    pub async fn check(&mut self) -> Result<Option<Offset>, SnapshotError> {
+        let state = self.follower.state();
+        if state.planner != Some(self.incarnation) {
+            return Ok(None);
+        }
+        let view = RetentionView {
+            earliest: self.log.earliest().await.map_err(SnapshotError::Log)?,
+            next: state.next,
+            snapshot: self.follower.snapshots().await.whole,
+        };
+        if !self.schedule.check(&view, self.started.elapsed()) {
+            return Ok(None);
+        }
+        self.write(state.term).await.map(Some)
+    }
+
+    /// Writes a snapshot as the planner of `term`.
+    async fn write(&self, term: Term) -> Result<Offset, SnapshotError> {
+        self.append(snapshot_marker(term)).await?;
+        let marked = self.marked().await?;
+        let chunks = split_state(&marked, term, CHUNK_BYTES).map_err(SnapshotError::Codec)?;
+        for chunk in chunks {
+            self.append(chunk).await?;
+        }
+        Ok(marked.next)
+    }
+
+    async fn marked(&self) -> Result<Arc<FoldedState>, SnapshotError> {
+        let status = self.follower.snapshots().await;
+        status.marked.ok_or(SnapshotError::NoMarkedState)
+    }
+
+    async fn append(&self, chunk: SnapshotChunk) -> Result<(), SnapshotError> {
+        let records = vec![LogRecord::Snapshot(chunk)];
+        let effects = self
+            .writer
+            .append(records, APPEND_LIMIT)
+            .await
+            .map_err(SnapshotError::Append)?;
+        match effects.first() {
+            Some(FoldEffect::Ignored(reason)) => Err(SnapshotError::Ignored(*reason)),
+            _ => Ok(()),
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,5 +6,6 @@
 mod fold;
 mod log_client;
 mod settings;
+mod snapshot;
 mod standins;
 mod telemetry;
