--- /dev/null
+++ b/src/handover/duty.rs
@@ -0,0 +1,91 @@
+//! What a process has to resign.
+
+use crate::base::collections::FastSet;
+use crate::base::ids::Epoch;
+use crate::base::ids::Incarnation;
+use crate::state::folded::FoldedState;
+use crate::state::folded::HolderChain;
+use crate::state::record::ChainKey;
+
+/// One position that a process has to resign.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResignDuty {
+    /// The chain.
+    pub chain: ChainKey,
+    /// The position.
+    pub epoch: Epoch,
+    /// Who has to be ready first; none for a position that does not serve.
+    pub successor: Option<Incarnation>,
+}
+
+/// Derives what `own` has to resign; everything that somebody else stands by
+/// for when it is leaving.
+pub fn resign_duties(
+    state: &FoldedState,
+    ended: &FastSet<Incarnation>,
+    own: Incarnation,
+    is_leaving: bool,
+) -> Vec<ResignDuty> {
+    let mut duties = Vec::new();
+    for (key, chain) in &state.chains {
+        if is_leaving || chain.target > chain.base {
+            let active = active_positions(state, ended, chain);
+            add_duties(
+                &mut duties,
+                &active,
+                own,
+                key,
+                keeper(&active, chain, own, is_leaving),
+            );
+        }
+    }
+    duties
+}
+
+fn active_positions(
+    state: &FoldedState,
+    ended: &FastSet<Incarnation>,
+    chain: &HolderChain,
+) -> Vec<(Epoch, Incarnation)> {
+    (chain.base..)
+        .zip(&chain.entries)
+        .filter(|(_epoch, entry)| !state.is_passed(entry) && !ended.contains(&entry.holder))
+        .map(|(epoch, entry)| (epoch, entry.holder))
+        .collect()
+}
+
+/// Returns the position that the earlier ones resign in favour of.
+fn keeper(
+    active: &[(Epoch, Incarnation)],
+    chain: &HolderChain,
+    own: Incarnation,
+    is_leaving: bool,
+) -> Option<(Epoch, Incarnation)> {
+    let may_keep = |holder: Incarnation| !(is_leaving && holder == own);
+    let after_target = active
+        .iter()
+        .find(|(epoch, holder)| *epoch >= chain.target && may_keep(*holder));
+    let other = || active.iter().find(|(_epoch, holder)| may_keep(*holder));
+    after_target.or_else(other).copied()
+}
+
+fn add_duties(
+    duties: &mut Vec<ResignDuty>,
+    active: &[(Epoch, Incarnation)],
+    own: Incarnation,
+    key: &ChainKey,
+    keeper: Option<(Epoch, Incarnation)>,
+) {
+    let Some((kept, successor)) = keeper else {
+        return;
+    };
+    for (place, (epoch, holder)) in active.iter().enumerate() {
+        if *epoch < kept && *holder == own {
+            duties.push(ResignDuty {
+                chain: key.clone(),
+                epoch: *epoch,
+                successor: (place == 0).then_some(successor),
+            });
+        }
+    }
+}
--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -129,7 +129,7 @@
 }
 
 /// Two witnesses' statement that an incarnation's lease has ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct LapseCertificate {
     /// Whose lease ended.
