--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,5 +14,6 @@
 mod ownership_lease;
 mod ownership_succession;
 mod settings;
+mod snapshot;
 mod standins;
 mod telemetry;
