winchctl: validate, diff, apply, ask, get, status, explain, drain, declare lost, watch

Each operation is a library function that returns a report; a subcommand only reads arguments and prints. Unchanged objects are not changed. A change's id covers its base version and declaration, so repeating a prefix repeats a change only if it is the same one. A lost answer is settled by asking for the change's id; what stays unknown ends with exit code 4.

Golden sessions run the program against a fake process that folds: validate to explain, a race, lost answers with the log readable and not, a log that is down, drain and declared loss, watch.

--- /dev/null
+++ b/src/bin/winchctl/commands/explain.rs
@@ -0,0 +1,29 @@
+//! `winchctl explain`: shows where the requests of a key go.
+
+use buckthornwinch::operator::client::ExitKind;
+use buckthornwinch::operator::client::explain::ExplainOptions;
+use buckthornwinch::operator::client::explain::explain;
+use clap::Args;
+
+use crate::cli::SharedArgs;
+
+/// Arguments of `winchctl explain`.
+#[derive(Debug)]
+#[derive(Args)]
+pub struct ExplainArgs {
+    /// The service
+    service: Box<str>,
+    /// The key; an idempotency key for non-idempotent work of a service that
+    /// is divided by load
+    key: Box<str>,
+}
+
+/// Shows where a key's requests go, and why.
+pub async fn exec(shared: &SharedArgs, args: ExplainArgs) -> eyre::Result<ExitKind> {
+    let options = ExplainOptions {
+        service: args.service,
+        key: args.key,
+    };
+    let report = explain(&shared.connect().await?, &options).await?;
+    Ok(shared.print(&report))
+}
--- /dev/null
+++ b/src/bin/winchctl/commands/watch.rs
@@ -0,0 +1,30 @@
+//! `winchctl watch`: reports changes as they come.
+
+use buckthornwinch::operator::client::ExitKind;
+use buckthornwinch::operator::client::watch::watch;
+use clap::Args;
+
+use crate::cli::SharedArgs;
+
+/// Arguments of `winchctl watch`.
+#[derive(Debug)]
+#[derive(Args)]
+pub struct WatchArgs {
+    /// Stop after this many changes
+    #[arg(long, value_name = "COUNT")]
+    count: Option<u64>,
+}
+
+/// Reports changes until the server stops or enough were reported.
+pub async fn exec(shared: &SharedArgs, args: WatchArgs) -> eyre::Result<ExitKind> {
+    let mut changes = watch(&shared.connect().await?).await?;
+    let mut seen = 0;
+    while args.count.is_none_or(|count| seen < count) {
+        let Some(event) = changes.next().await? else {
+            eyre::bail!("the server stopped; watch another with --server");
+        };
+        shared.print(&event);
+        seen += 1;
+    }
+    Ok(ExitKind::Success)
+}
--- a/src/bin/winchctl/main.rs
+++ b/src/bin/winchctl/main.rs
@@ -1,3 +1,24 @@
-//! Entry point of `winchctl`.
+//! Entry point of `winchctl`, the operators' tool.
 
-fn main() {}
+mod cli;
+mod commands;
+
+use std::process::ExitCode;
+
+use buckthornwinch::operator::client::ExitKind;
+use clap::Parser;
+
+use crate::cli::Cli;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let kind = match commands::exec(cli).await {
+        Ok(kind) => kind,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitKind::Failed
+        }
+    };
+    ExitCode::from(kind as u8)
+}
--- /dev/null
+++ b/src/operator/client/drain.rs
@@ -0,0 +1,103 @@
+//! Drains a node, or declares an incarnation lost.
+
+use serde_json::Value;
+use serde_json::json;
+use winch_operator_api as api;
+
+use super::apply::new_change_id;
+use super::context::ClientContext;
+use super::context::call_error;
+use super::report::ExitKind;
+use super::report::OperationReport;
+use super::report::verdict_word;
+use crate::base::ids::Incarnation;
+
+/// Who is declared lost.
+#[derive(Debug, Clone)]
+pub struct DeclareLostOptions {
+    /// The node.
+    pub node: Box<str>,
+    /// Its present incarnation, as `status` shows it.
+    pub incarnation: Incarnation,
+}
+
+/// What became of a member's drain or loss.
+#[derive(Debug, Clone)]
+pub struct MemberReport {
+    node: Box<str>,
+    incarnation: Incarnation,
+    verdict: api::Verdict,
+    detail: String,
+    done: &'static str,
+}
+
+/// Drains a node.
+///
+/// Fails when it is no member, or when nothing was appended.
+pub async fn drain(context: &ClientContext, node: &str) -> eyre::Result<MemberReport> {
+    let request = api::DrainRequest {
+        operator: context.operator.to_string(),
+        node: node.to_owned(),
+    };
+    let response = context.calls.clone().drain(request).await;
+    let response = response.map_err(call_error)?.into_inner();
+    Ok(MemberReport {
+        node: node.into(),
+        incarnation: response.incarnation,
+        verdict: response.verdict(),
+        detail: response.detail,
+        done: "draining",
+    })
+}
+
+/// Declares a node's present incarnation lost for good.
+///
+/// Fails when the node has another incarnation, or when nothing was appended.
+pub async fn declare_lost(
+    context: &ClientContext,
+    options: &DeclareLostOptions,
+) -> eyre::Result<MemberReport> {
+    let request = api::DeclareLostRequest {
+        operator: context.operator.to_string(),
+        change_id: new_change_id(&context.operator).into(),
+        node: options.node.to_string(),
+        incarnation: options.incarnation,
+    };
+    let response = context.calls.clone().declare_lost(request).await;
+    let response = response.map_err(call_error)?.into_inner();
+    Ok(MemberReport {
+        node: options.node.clone(),
+        incarnation: response.incarnation,
+        verdict: response.verdict(),
+        detail: response.detail,
+        done: "declared lost",
+    })
+}
+
+impl OperationReport for MemberReport {
+    fn text(&self) -> String {
+        let Self {
+            node, incarnation, ..
+        } = self;
+        match self.verdict {
+            api::Verdict::Accepted => format!("{node} ({incarnation}): {}", self.done),
+            verdict => {
+                let word = verdict_word(verdict);
+                format!("{node} ({incarnation}): {word}: {}", self.detail)
+            }
+        }
+    }
+
+    fn json(&self) -> Value {
+        json!({
+            "node": self.node,
+            "incarnation": self.incarnation,
+            "verdict": verdict_word(self.verdict),
+            "detail": self.detail,
+        })
+    }
+
+    fn exit(&self) -> ExitKind {
+        ExitKind::of_verdict(self.verdict)
+    }
+}
--- /dev/null
+++ b/src/operator/client/explain.rs
@@ -0,0 +1,113 @@
+//! Shows where the requests of a key go, and why.
+
+use serde_json::Value;
+use serde_json::json;
+use winch_operator_api as api;
+
+use super::context::ClientContext;
+use super::context::call_error;
+use super::report::OperationReport;
+use super::report::write_table;
+
+/// What is explained.
+#[derive(Debug, Clone)]
+pub struct ExplainOptions {
+    /// The service.
+    pub service: Box<str>,
+    /// The key.
+    pub key: Box<str>,
+}
+
+/// Where a key's requests go.
+#[derive(Debug, Clone)]
+pub struct ExplainReport {
+    explained: api::ExplainResponse,
+}
+
+/// Asks where a key's requests go.
+///
+/// Fails when the service is not declared.
+pub async fn explain(
+    context: &ClientContext,
+    options: &ExplainOptions,
+) -> eyre::Result<ExplainReport> {
+    let request = api::ExplainRequest {
+        service: options.service.to_string(),
+        key: options.key.to_string(),
+    };
+    let response = context.calls.clone().explain(request).await;
+    Ok(ExplainReport {
+        explained: response.map_err(call_error)?.into_inner(),
+    })
+}
+
+fn state_word(state: api::PositionState) -> &'static str {
+    match state {
+        api::PositionState::Unspecified => "unknown",
+        api::PositionState::Resigned => "resigned",
+        api::PositionState::Ended => "ended",
+        api::PositionState::Serving => "serving",
+        api::PositionState::Waiting => "waiting",
+        api::PositionState::Leaving => "leaving",
+    }
+}
+
+impl OperationReport for ExplainReport {
+    fn text(&self) -> String {
+        let explained = &self.explained;
+        let own = if explained.own_chain {
+            ", taken out into a chain of its own"
+        } else {
+            ""
+        };
+        let rows = explained.positions.iter().map(|position| {
+            [
+                position.epoch.to_string(),
+                position.node.clone(),
+                position.failure_domain.clone(),
+                state_word(position.state()).to_owned(),
+                position.reason.clone(),
+            ]
+        });
+        let table = write_table(["EPOCH", "NODE", "DOMAIN", "STATE", "REASON"], rows);
+        format!(
+            "{} {}: hash {:016x}, slice {}{own}, at offset {}\n\n{table}\n\n{}",
+            explained.service,
+            explained.key,
+            explained.key_hash,
+            explained.slice,
+            explained.next_offset,
+            explained.why
+        )
+    }
+
+    fn json(&self) -> Value {
+        let explained = &self.explained;
+        let positions: Vec<Value> = explained
+            .positions
+            .iter()
+            .map(|position| {
+                json!({
+                    "epoch": position.epoch,
+                    "incarnation": position.incarnation,
+                    "node": position.node,
+                    "failure_domain": position.failure_domain,
+                    "state": state_word(position.state()),
+                    "reason": position.reason,
+                })
+            })
+            .collect();
+        json!({
+            "service": explained.service,
+            "key": explained.key,
+            "key_hash": format!("{:016x}", explained.key_hash),
+            "slice": explained.slice,
+            "own_chain": explained.own_chain,
+            "positions": positions,
+            "served_by": explained.served_by,
+            "served_epoch": explained.served_epoch,
+            "why": explained.why,
+            "next_offset": explained.next_offset,
+        })
+    }
+}
--- /dev/null
+++ b/src/operator/client/watch.rs
@@ -0,0 +1,116 @@
+//! Reports changes of the folded state as they come.
+
+use serde_json::Value;
+use serde_json::json;
+use tonic::Streaming;
+use winch_operator_api as api;
+use winch_operator_api::watch_event::Event;
+
+use super::context::ClientContext;
+use super::context::call_error;
+use super::report::OperationReport;
+use crate::operator::convert::key_from_api;
+
+/// Changes as they come.
+#[derive(Debug)]
+pub struct ChangeStream {
+    events: Streaming<api::WatchEvent>,
+}
+
+/// One change.
+#[derive(Debug, Clone)]
+pub struct EventReport {
+    event: api::WatchEvent,
+}
+
+/// Starts to watch.
+pub async fn watch(context: &ClientContext) -> eyre::Result<ChangeStream> {
+    let response = context.calls.clone().watch(api::WatchRequest {}).await;
+    Ok(ChangeStream {
+        events: response.map_err(call_error)?.into_inner(),
+    })
+}
+
+impl ChangeStream {
+    /// Waits for the next change; none when the server stops.
+    pub async fn next(&mut self) -> eyre::Result<Option<EventReport>> {
+        let event = self.events.message().await.map_err(call_error)?;
+        Ok(event.map(|event| EventReport { event }))
+    }
+}
+
+fn member_word(event: api::MemberEvent) -> &'static str {
+    match event {
+        api::MemberEvent::Unspecified => "changed",
+        api::MemberEvent::Joined => "joined",
+        api::MemberEvent::Ended => "ended",
+        api::MemberEvent::Draining => "draining",
+    }
+}
+
+fn object_name(object: Option<&api::ObjectKey>) -> String {
+    key_from_api(object).map_or_else(|| "unknown object".to_owned(), |key| key.to_string())
+}
+
+impl OperationReport for EventReport {
+    fn text(&self) -> String {
+        let line = match &self.event.event {
+            None => "unknown event".to_owned(),
+            Some(Event::Started(started)) => format!("watching {}", started.node),
+            Some(Event::ObjectChanged(changed)) => {
+                let object = object_name(changed.object.as_ref());
+                let done = if changed.deleted { "deleted, " } else { "" };
+                format!(
+                    "{object}: {done}version {} by {}",
+                    changed.version, changed.operator
+                )
+            }
+            Some(Event::MemberChanged(changed)) => {
+                let word = member_word(changed.event());
+                format!("{} ({}): {word}", changed.node, changed.incarnation)
+            }
+            Some(Event::OwnersMoved(moved)) => {
+                format!(
+                    "{}: {} chains have a new owner",
+                    moved.service, moved.chains
+                )
+            }
+            Some(Event::PlannerChanged(changed)) => {
+                format!("planner: {} at term {}", changed.node, changed.term)
+            }
+        };
+        format!("{} {line}", self.event.next_offset)
+    }
+
+    fn json(&self) -> Value {
+        let event = match &self.event.event {
+            None => json!({}),
+            Some(Event::Started(started)) => json!({ "event": "started", "node": started.node }),
+            Some(Event::ObjectChanged(changed)) => json!({
+                "event": "object-changed",
+                "object": object_name(changed.object.as_ref()),
+                "version": changed.version,
+                "operator": changed.operator,
+                "deleted": changed.deleted,
+            }),
+            Some(Event::MemberChanged(changed)) => json!({
+                "event": format!("member-{}", member_word(changed.event())),
+                "node": changed.node,
+                "incarnation": changed.incarnation,
+            }),
+            Some(Event::OwnersMoved(moved)) => json!({
+                "event": "owners-moved",
+                "service": moved.service,
+                "chains": moved.chains,
+            }),
+            Some(Event::PlannerChanged(changed)) => json!({
+                "event": "planner-changed",
+                "node": changed.node,
+                "term": changed.term,
+            }),
+        };
+        let mut event = event;
+        event["next_offset"] = self.event.next_offset.into();
+        event
+    }
+}
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -20,6 +20,7 @@
 
 pub mod backend;
 
+pub mod client;
 pub mod convert;
 pub mod events;
 pub mod explain;
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -7,6 +7,7 @@
 
 use super::backend::BackendView;
 use crate::base::collections::FastMap;
+use crate::base::ids::Epoch;
 use crate::base::ids::Incarnation;
 use crate::declarations::ClassDeclaration;
 use crate::declarations::Declaration;
@@ -14,6 +15,7 @@
 use crate::planner::placement::PlacementCandidate;
 use crate::planner::placement::candidates;
 use crate::routing::table::serving_position;
+use crate::state::folded::HolderChain;
 use crate::state::folded::MemberState;
 use crate::state::record::ChainKey;
 use crate::state::record::ChainSubject;
@@ -97,15 +99,25 @@
             continue;
         };
         *tally.owned.entry(route.owner).or_default() += 1;
-        let next = (route.epoch - chain.base) as usize + 1;
-        match chain.entries.get(next) {
-            Some(next) => *tally.succeeding.entry(next.holder).or_default() += 1,
+        let successors = later_positions(chain, route.epoch);
+        match serving_position(&key, &successors, view.route_inputs()) {
+            Some(next) => *tally.succeeding.entry(next.owner).or_default() += 1,
             None => tally.without_successor += 1,
         }
     }
     tally
 }
 
+/// Returns the positions of a chain after an epoch.
+fn later_positions(chain: &HolderChain, epoch: Epoch) -> HolderChain {
+    let passed = (epoch + 1 - chain.base) as usize;
+    HolderChain {
+        base: epoch + 1,
+        entries: chain.entries[passed..].to_vec(),
+        target: chain.target,
+    }
+}
+
 fn member_status(
     view: &BackendView,
     member: &MemberState,
--- /dev/null
+++ b/tests/testsuite/winchctl.rs
@@ -0,0 +1,284 @@
+//! Sessions of `winchctl` against a fake process.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use buckthornwinch::base::ids::Incarnation;
+use buckthornwinch::declarations::ObjectKey;
+use buckthornwinch::declarations::ObjectKind;
+use buckthornwinch::operator::serve;
+use buckthornwinch::state::record::ChangeRecord;
+use buckthornwinch::state::record::MemberInfo;
+use tokio::net::TcpListener;
+use tokio::process::Command;
+use tokio_util::sync::CancellationToken;
+use winch_test_support::fake_backend::BackendFault;
+use winch_test_support::fake_backend::FakeBackend;
+use winch_test_support::records::member_info;
+
+const DECLARATIONS: &str = "examples/hanmaru/declarations";
+
+const MEMBERS: [(&str, &str, Incarnation); 3] = [
+    ("catalogue-1", "daegu-a", 101),
+    ("catalogue-2", "daegu-b", 102),
+    ("catalogue-3", "busan", 103),
+];
+
+/// A server with a fake behind it, and what was typed and printed so far.
+struct Session {
+    backend: FakeBackend,
+    address: SocketAddr,
+    stop: CancellationToken,
+    transcript: String,
+}
+
+fn member(number: u16) -> MemberInfo {
+    let (node, domain, incarnation) = MEMBERS[usize::from(number)];
+    let mut info = member_info(number, incarnation);
+    info.node = node.into();
+    info.domain = domain.into();
+    info.region = "yeongnam".into();
+    info.upstream.service = "catalogue".into();
+    info
+}
+
+async fn start_session() -> Session {
+    let backend = FakeBackend::new(&[member(0), member(1), member(2)]);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound listener");
+    let stop = CancellationToken::new();
+    tokio::spawn(serve(listener, backend.clone(), stop.clone()));
+    Session {
+        backend,
+        address,
+        stop,
+        transcript: String::new(),
+    }
+}
+
+fn winchctl(arguments: &str) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_winchctl"));
+    command
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .args(arguments.split_whitespace())
+        .kill_on_drop(true);
+    command
+}
+
+impl Session {
+    /// Runs one command and writes it down with its output and exit code.
+    async fn run(&mut self, arguments: &str) {
+        let output = winchctl(arguments)
+            .args(["--operator", "haneul", "--server"])
+            .arg(self.address.to_string())
+            .output()
+            .await
+            .expect("winchctl can be started");
+        let _ = writeln!(self.transcript, "$ winchctl {arguments}");
+        for text in [&output.stdout, &output.stderr] {
+            self.transcript.push_str(&String::from_utf8_lossy(text));
+        }
+        let code = output.status.code().expect("winchctl ends by itself");
+        let _ = writeln!(self.transcript, "exit {code}\n");
+    }
+
+    /// Finds a printed word by its start.
+    fn find_word(&self, start: &str) -> String {
+        let mut words = self.transcript.split([' ', '`', '\n']);
+        let word = words.find(|word| word.starts_with(start));
+        word.expect("the word was printed").to_owned()
+    }
+
+    fn finish(self) -> String {
+        self.stop.cancel();
+        let root = format!("{}/", env!("CARGO_MANIFEST_DIR"));
+        self.transcript.replace(&root, "")
+    }
+}
+
+/// Writes the examples with a longer queue of lookups, and returns their path.
+fn edit_examples(folder: &Path, queue: u32) -> String {
+    for file in ["services.yaml", "classes.yaml", "rules.yaml"] {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR"))
+            .join(DECLARATIONS)
+            .join(file);
+        let text = std::fs::read_to_string(path).expect("the example exists");
+        let edited = text.replace("queue: 400", &format!("queue: {queue}"));
+        std::fs::write(folder.join(file), edited).expect("the folder can be written");
+    }
+    folder.display().to_string()
+}
+
+#[tokio::test]
+async fn an_operator_goes_from_validate_to_explain() {
+    let mut session = start_session().await;
+
+    session.run(&format!("validate {DECLARATIONS}")).await;
+    session.run(&format!("diff {DECLARATIONS}")).await;
+    let dry_run = format!("apply {DECLARATIONS} --dry-run --change-id first");
+    session.run(&dry_run).await;
+    let apply = format!("apply {DECLARATIONS} --change-id first");
+    session.run(&apply).await;
+    session.run(&apply).await;
+    session.run("get PriorityClass").await;
+    session.run("get service catalogue --output json").await;
+    session.run("get Service cooperage").await;
+    session.run("explain catalogue 4711").await;
+    session.backend.assign("catalogue", 1024, &[101, 102, 103]);
+    session.run("explain catalogue 4711").await;
+    session.run("explain orders 4711").await;
+    session.run("explain cooperage 4711").await;
+
+    insta::assert_snapshot!(session.finish());
+}
+
+#[tokio::test]
+async fn changes_that_race_or_lose_their_answer_are_settled() {
+    let mut session = start_session().await;
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    session
+        .run(&format!("apply {DECLARATIONS} --change-id first"))
+        .await;
+
+    let edited = edit_examples(folder.path(), 500);
+    session.backend.race(ChangeRecord {
+        change: "rival".into(),
+        operator: "minjun".into(),
+        object: ObjectKey {
+            kind: ObjectKind::PriorityClass,
+            name: "lookups".into(),
+        },
+        base: 1,
+        declaration: None,
+    });
+    session
+        .run(&format!("apply {edited} --change-id second"))
+        .await;
+    session.backend.set_fault(BackendFault::AnswersLost);
+    session
+        .run(&format!("apply {edited} --change-id third"))
+        .await;
+    let edited = edit_examples(folder.path(), 600);
+    session
+        .backend
+        .set_fault(BackendFault::AnswersLostUnreadable);
+    session.run("ask absent").await;
+    session
+        .run(&format!("apply {edited} --change-id fourth"))
+        .await;
+    session.backend.set_fault(BackendFault::Down);
+    let edited = edit_examples(folder.path(), 700);
+    session
+        .run(&format!("apply {edited} --change-id fifth"))
+        .await;
+    session.backend.set_fault(BackendFault::None);
+    let fourth = session.find_word("fourth/PriorityClass/lookups");
+    session.run(&format!("ask {fourth}")).await;
+    session.run("ask fifth/PriorityClass/lookups").await;
+
+    let transcript = session.finish();
+    let folder = folder.path().display().to_string();
+    insta::assert_snapshot!(transcript.replace(&folder, "FOLDER"));
+}
+
+#[tokio::test]
+async fn members_are_drained_and_declared_lost() {
+    let mut session = start_session().await;
+    session
+        .run(&format!("apply {DECLARATIONS} --change-id first"))
+        .await;
+    session.backend.assign("catalogue", 1024, &[101, 102, 103]);
+    let lookups = session.backend.metrics().class("lookups");
+    lookups.count_answer(std::time::Duration::from_millis(3));
+
+    session.run("status").await;
+    session.run("drain catalogue-2").await;
+    session.run("drain catalogue-9").await;
+    session.backend.certify(103);
+    session.run("status").await;
+    session.run("explain catalogue 4711").await;
+    session
+        .run("declare-lost catalogue-3 --incarnation 77")
+        .await;
+    session
+        .run("declare-lost catalogue-3 --incarnation 103")
+        .await;
+    session.run("status --output json").await;
+    session.run("explain catalogue 4711").await;
+
+    insta::assert_snapshot!(session.finish());
+}
+
+#[tokio::test]
+async fn a_watching_operator_is_told_of_changes() {
+    let mut session = start_session().await;
+    session
+        .run(&format!("apply {DECLARATIONS} --change-id first"))
+        .await;
+    let address = session.address.to_string();
+
+    let mut watching = winchctl(&format!("watch --count 4 --server {address}"));
+    let watching = watching
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .expect("winchctl can be started");
+    while session.backend.watchers() == 0 {
+        tokio::task::yield_now().await;
+    }
+    session.backend.assign("catalogue", 1024, &[101, 102, 103]);
+    session.run("drain catalogue-2").await;
+    session
+        .run("declare-lost catalogue-3 --incarnation 103")
+        .await;
+    let output = watching.wait_with_output().await.expect("winchctl ends");
+
+    insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout));
+}
+
+#[tokio::test]
+async fn a_server_that_does_not_answer_is_named() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound listener");
+    drop(listener);
+
+    let output = winchctl("status --server")
+        .arg(address.to_string())
+        .output()
+        .await
+        .expect("winchctl can be started");
+
+    let message = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(
+        message.contains(&format!("{address}: ")) && message.contains("--server"),
+        "{message}"
+    );
+}
+
+#[tokio::test]
+async fn help_and_faults_are_as_documented() {
+    let mut session = start_session().await;
+
+    for command in [
+        "--help",
+        "validate --help",
+        "diff --help",
+        "apply --help",
+        "ask --help",
+        "get --help",
+        "status --help",
+        "explain --help",
+        "drain --help",
+        "declare-lost --help",
+        "watch --help",
+        "validate examples/hanmaru/winchd.yaml",
+        "validate absent.yaml",
+        "apply",
+        "get Server",
+    ] {
+        session.run(command).await;
+    }
+
+    insta::assert_snapshot!(session.finish());
+}
