docs: operators' pages, glossary, style and architecture tour

Tables of settings, declarations, metrics, error kinds, exit codes and help stand in the pages and are compared with the code by tests; prefixes of log lines are collected from the sources.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod fold;
 mod log_client;
 mod operator_api;
+mod operator_pages;
 mod ownership_actor;
 mod ownership_certificate;
 mod ownership_gate;
