--- a/crates/winch-bench/src/load/generator.rs
+++ b/crates/winch-bench/src/load/generator.rs
@@ -1,19 +1,22 @@
 //! Sends requests when they are due.
+//!
+//! Each stream has a thread of its own, because the runtime's timers are too
+//! coarse for latencies of a millisecond.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use reqwest::Client;
+use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
-use tokio::time::MissedTickBehavior;
 
 use super::caller::CallerRequest;
 use super::caller::send;
@@ -22,7 +25,7 @@
 use super::stream::TrafficStream;
 
 /// How often due requests are sent.
-const SEND_INTERVAL: Duration = Duration::from_millis(1);
+const SEND_INTERVAL: Duration = Duration::from_micros(250);
 
 /// How many callers there are, each with connections of its own.
 const CALLERS: usize = 32;
@@ -65,10 +68,11 @@
                 tags: Arc::clone(&tags),
                 in_flight: Arc::default(),
                 records: sender.clone(),
+                runtime: Handle::current(),
                 turn: 0,
                 random: StdRng::seed_from_u64(seed.wrapping_add(index as u64)),
             };
-            tasks.spawn(sender.run());
+            tasks.spawn_blocking(move || sender.run());
         }
         Self {
             streams,
@@ -115,6 +119,7 @@
     tags: Arc<AtomicU64>,
     in_flight: Arc<AtomicUsize>,
     records: mpsc::UnboundedSender<RequestRecord>,
+    runtime: Handle,
     /// Index of the next key, when they are taken in turn.
     turn: usize,
     random: StdRng,
@@ -122,18 +127,16 @@
 
 impl StreamSender {
     /// Sends the stream, and returns how many requests were due and not sent.
-    async fn run(mut self) -> u64 {
-        tokio::time::sleep(self.stream.start).await;
+    fn run(mut self) -> u64 {
+        std::thread::sleep(self.stream.start);
         let started = Instant::now();
         let started_us = unix_micros();
         let total = (self.stream.duration.as_secs_f64() * self.stream.rate) as u64;
         let gap_us = 1e6 / self.stream.rate;
-        let mut ticks = tokio::time::interval(SEND_INTERVAL);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
         let mut sent = 0;
         let mut not_sent = 0;
         while sent < total {
-            ticks.tick().await;
+            std::thread::sleep(SEND_INTERVAL);
             let due = (started.elapsed().as_secs_f64() * self.stream.rate) as u64;
             while sent < due.min(total) {
                 let due_us = started_us + (sent as f64 * gap_us) as u64;
@@ -175,7 +178,7 @@
         let stream = Arc::clone(&self.stream);
         let records = self.records.clone();
         let in_flight = Arc::clone(&self.in_flight);
-        tokio::spawn(async move {
+        self.runtime.spawn(async move {
             let record = send(&client, &stream, request).await;
             in_flight.fetch_sub(1, Ordering::Relaxed);
             drop(records.send(record));
--- a/crates/winch-standin/src/lib.rs
+++ b/crates/winch-standin/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`echo`]: the answer of the upstream, by which a caller verifies that it
 //!   got its own answer, and the whole of it.
 
+mod delay;
 pub mod echo;
 pub mod log_standin;
 pub mod upstream_standin;
--- a/crates/winch-standin/src/log_standin/server.rs
+++ b/crates/winch-standin/src/log_standin/server.rs
@@ -17,6 +17,7 @@
 use super::LogFaults;
 use super::store::EntryRun;
 use super::store::LogStore;
+use crate::delay::delay;
 
 const DEFAULT_READ_LIMIT: usize = 1_000;
 const LARGEST_ENTRY: u64 = 4 << 20;
@@ -123,12 +124,12 @@
 
 async fn write_entry(store: Arc<LogStore>, data: Bytes, faults: LogFaults) -> u64 {
     let half_delay = Duration::from_millis(faults.slow_ms) / 2;
-    tokio::time::sleep(half_delay).await;
+    delay(half_delay).await;
     let offset = store.append(data.clone());
     if rand::random_bool(faults.duplicate.clamp(0.0, 1.0)) {
         store.append(data);
     }
-    tokio::time::sleep(half_delay).await;
+    delay(half_delay).await;
     offset
 }
 
@@ -137,7 +138,7 @@
     if faults.down {
         return refusal(StatusCode::SERVICE_UNAVAILABLE);
     }
-    tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+    delay(Duration::from_millis(faults.slow_ms)).await;
     store
         .wait_for(query.from, Duration::from_millis(query.wait_ms))
         .await;
--- a/crates/winch-standin/src/upstream_standin/order.rs
+++ b/crates/winch-standin/src/upstream_standin/order.rs
@@ -21,6 +21,7 @@
 use super::fence::OrderGrant;
 use super::ledger::LedgerEntry;
 use super::ledger::OrderLedger;
+use crate::delay::delay;
 use crate::echo::EchoAnswer;
 
 /// How much longer an order runs right after a cold start.
@@ -212,7 +213,7 @@
         if happens(faults.fail) {
             return OrderEnd::Failed;
         }
-        tokio::time::sleep(Duration::from_millis(faults.late_ms)).await;
+        delay(Duration::from_millis(faults.late_ms)).await;
         OrderEnd::Answered(self.answer(task))
     }
 
