--- a/crates/winch-bench/src/load/generator.rs
+++ b/crates/winch-bench/src/load/generator.rs
@@ -137,7 +137,8 @@
         let mut not_sent = 0;
         while sent < total {
             std::thread::sleep(SEND_INTERVAL);
-            let due = (started.elapsed().as_secs_f64() * self.stream.rate) as u64;
+            // The first request is due at the start.
+            let due = (started.elapsed().as_secs_f64() * self.stream.rate) as u64 + 1;
             while sent < due.min(total) {
                 let due_us = started_us + (sent as f64 * gap_us) as u64;
                 if !self.send_one(due_us) {
