--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -14,6 +14,8 @@
 use xtra::Handler;
 use xtra::Mailbox;
 
+use super::backend::NodeBackend;
+use super::backend::follow_offsets;
 use super::datagrams::DatagramReceiver;
 use super::datagrams::NodeSender;
 use super::handler::NodeHandler;
@@ -39,6 +41,9 @@
 use crate::handover::coordinator::HandoverInputs;
 use crate::handover::coordinator::HandoverTick;
 use crate::handover::coordinator::ReadinessSource;
+use crate::hotkeys::report::KeySampler;
+use crate::hotkeys::report::QUIET_INTERVALS;
+use crate::hotkeys::report::REPORT_INTERVAL;
 use crate::log::follower::FollowerSettings;
 use crate::log::follower::start_follower;
 use crate::log::http::HttpLogService;
@@ -97,6 +102,7 @@
     callers: TcpListener,
     peers: TcpListener,
     local: TcpListener,
+    operators: TcpListener,
     datagrams: DatagramSocket,
 }
 
@@ -107,6 +113,7 @@
             callers: bind("callers", addresses.callers).await?,
             peers: bind("peers", addresses.peers).await?,
             local: bind("local", addresses.local).await?,
+            operators: bind("operators", addresses.operators).await?,
             datagrams: DatagramSocket::bind(addresses.peers)
                 .await
                 .wrap_err_with(|| cannot_bind("peers", addresses.peers))?,
@@ -188,7 +195,7 @@
                 .build(),
         );
         let writer = start_writer(
-            log,
+            log.clone(),
             follower.clone(),
             own,
             WriterSettings::builder()
@@ -231,7 +238,12 @@
                 .build(),
         ));
         let activity = ChainActivity::default();
-        let handler = NodeHandler::new(gate, Arc::clone(&owner), activity.clone());
+        let sampler = KeySampler::default();
+        let handler = NodeHandler::new(gate, Arc::clone(&owner), activity.clone(), sampler.clone());
+        tasks.spawn(until(
+            stop.clone(),
+            report_load(own, sampler, sender.clone()),
+        ));
 
         let routes = RoutePublisher::default();
         tasks.spawn(until(
@@ -275,6 +287,22 @@
                 .resigns(resigns)
                 .build(),
         );
+        let (offsets_sender, offsets) = watch::channel(0);
+        tasks.spawn(until(
+            stop.clone(),
+            follow_offsets(inputs.clone(), offsets_sender),
+        ));
+        let backend = NodeBackend::builder()
+            .node(settings.node.clone())
+            .own(own)
+            .log(log)
+            .writer(writer.clone())
+            .follower(follower.clone())
+            .inputs(inputs.clone())
+            .offsets(offsets)
+            .metrics(metrics.clone())
+            .build();
+        tasks.spawn(serve_operators(listeners.operators, backend, stop.clone()));
         let planner: Address<NodePlanner> = spawn_actor(PlannerActor::new(own, writer, sender));
 
         tasks.spawn(until(stop.clone(), tick_leases(lease.clone())));
@@ -396,6 +424,34 @@
     xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX))
 }
 
+async fn serve_operators(
+    listener: TcpListener,
+    backend: NodeBackend<HttpLogService>,
+    stop: CancellationToken,
+) {
+    if let Err(error) = crate::operator::server::serve(listener, backend, stop).await {
+        log::error!("operator: cannot serve: {error}");
+    }
+}
+
+/// Reports load to the planner: often while there are hot keys.
+async fn report_load(own: Incarnation, sampler: KeySampler, sender: NodeSender) {
+    let mut ticks = TimerService.subscribe(REPORT_INTERVAL);
+    let mut quiet = 0;
+    loop {
+        let tick = ticks.next().await;
+        let summary = sampler.summarise(own, tick.since_last);
+        quiet = if summary.keys.is_empty() {
+            quiet + 1
+        } else {
+            0
+        };
+        if quiet % QUIET_INTERVALS == 0 {
+            sender.report_load(&summary);
+        }
+    }
+}
+
 /// Runs a task until it ends or `stop` fires.
 async fn until(stop: CancellationToken, task: impl Future<Output = ()>) {
     tokio::select! {
