admission: learn congestion by time and keep it apart from the normal

Cause: the first tests of the adaptive limit. An upstream of 20 slots that slows down above 10 kept a limit of 20: growth by answers outran the cuts by time (one cut in 100 ms against 200 answers), and the slowness was soon learned as normal.

Change: growth goes by time as well; nothing is learned above 1.25 times the past latency; an upstream that stays slow for 30 s in spite of the cuts is taken as normal; slowness alone cuts to a quarter of the slots at most.

--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -3,8 +3,9 @@
 //! The announced slots are the ceiling, and so are its connections, since a
 //! request occupies one. Below it the limit follows what requests show: it is
 //! cut when the upstream sheds or loses them or when they slow down against
-//! their class's own past, and grows by one for each limit's worth of answers
-//! while it is used up. A cold upstream's ceiling rises over its cold start.
+//! their class's own past, and grows by one at a time while it is used up. Both
+//! go by time, not by answers, so that many fast answers cannot outweigh the
+//! cuts. A cold upstream's ceiling rises over its cold start.
 
 use std::time::Duration;
 
@@ -13,16 +14,25 @@
 
 /// The limit is cut at most once in this time.
 const CUT_INTERVAL: Duration = Duration::from_millis(100);
+/// The limit grows by one at most once in this time.
+const GROWTH_INTERVAL: Duration = Duration::from_millis(100);
 /// What remains of the limit after the upstream shed or lost a request.
 const FAILURE_CUT: f64 = 0.85;
 /// What remains of the limit after requests slowed down.
-const LATENCY_CUT: f64 = 0.95;
+const LATENCY_CUT: f64 = 0.9;
+/// Slowness alone cuts the limit to one part in so many of the ceiling.
+const LATENCY_PARTS: f64 = 4.0;
 /// How much slower than in the past requests may be.
 const LATENCY_TOLERANCE: f64 = 2.0;
+/// From this slowdown on, nothing is learned as normal.
+const NORMAL_SLOWDOWN: f64 = 1.25;
 /// A new sample moves the recent slowdown by this part.
 const RECENT_WEIGHT: f64 = 1.0 / 16.0;
 /// A new sample moves a class's past latency by at least this part.
 const PAST_WEIGHT: f64 = 1.0 / 512.0;
+/// Nothing is learned from a slowed upstream, or congestion would be taken for
+/// normal; but one that stays slow for so long in spite of the cuts is.
+const SLOWED_MEMORY: Duration = Duration::from_secs(30);
 /// The limit grows only while so much of it is in use.
 const USED_PART: f64 = 0.8;
 /// A cold upstream starts with one part in so many of its slots.
@@ -81,7 +91,9 @@
     current: f64,
     past: FastMap<ClassTag, PastLatency>,
     slowdown: f64,
+    slowed_since: Option<Duration>,
     last_cut: Option<Duration>,
+    last_growth: Option<Duration>,
 }
 
 impl AdaptiveLimit {
@@ -93,7 +105,9 @@
             current: 0.0,
             past: FastMap::default(),
             slowdown: 1.0,
+            slowed_since: None,
             last_cut: None,
+            last_growth: None,
         }
     }
 
@@ -110,7 +124,9 @@
             self.warm_since = now;
             self.past.clear();
             self.slowdown = 1.0;
+            self.slowed_since = None;
             self.last_cut = None;
+            self.last_growth = None;
         }
         if raised {
             self.current = f64::from(self.ceiling());
@@ -132,26 +148,57 @@
     pub fn record(&mut self, now: Duration, sample: SlotSample) {
         match sample.verdict {
             SlotVerdict::Unused => {}
-            SlotVerdict::Shed | SlotVerdict::Lost => self.cut(now, sample.running, FAILURE_CUT),
+            SlotVerdict::Shed | SlotVerdict::Lost => {
+                self.cut(now, sample.running, FAILURE_CUT, 1.0);
+            }
             SlotVerdict::Answered | SlotVerdict::Failed => self.record_answer(now, sample),
         }
     }
 
     fn record_answer(&mut self, now: Duration, sample: SlotSample) {
-        let ratio = self.learn_latency(sample.class, sample.held);
+        let ratio = self.compare_latency(sample.class, sample.held);
         self.slowdown += (ratio - self.slowdown) * RECENT_WEIGHT;
+        if self.slowdown > NORMAL_SLOWDOWN {
+            self.accept_slowness(now);
+        } else {
+            self.slowed_since = None;
+        }
         if self.slowdown > LATENCY_TOLERANCE {
-            self.cut(now, sample.running, LATENCY_CUT);
+            let floor = f64::from(self.ceiling()) / LATENCY_PARTS;
+            self.cut(now, sample.running, LATENCY_CUT, floor);
         } else if f64::from(sample.running) >= self.current * USED_PART {
-            let grown = self.current + 1.0 / self.current.max(1.0);
-            self.current = grown.min(f64::from(self.ceiling()));
+            self.grow(now);
+        }
+    }
+
+    fn accept_slowness(&mut self, now: Duration) {
+        let since = *self.slowed_since.get_or_insert(now);
+        if now.saturating_sub(since) >= SLOWED_MEMORY {
+            self.past.clear();
+            self.slowdown = 1.0;
+            self.slowed_since = None;
         }
     }
 
+    fn grow(&mut self, now: Duration) {
+        let waits = self
+            .last_growth
+            .is_some_and(|last| now < last + GROWTH_INTERVAL);
+        if waits {
+            return;
+        }
+        self.last_growth = Some(now);
+        self.current = (self.current + 1.0).min(f64::from(self.ceiling()));
+    }
+
     /// Returns the latency as a multiple of the class's past.
-    fn learn_latency(&mut self, class: ClassTag, held: Duration) -> f64 {
+    fn compare_latency(&mut self, class: ClassTag, held: Duration) -> f64 {
+        let slowed = self.slowed_since.is_some();
         let past = self.past.entry(class).or_default();
         let latency = held.as_secs_f64().max(1e-6);
+        if slowed && past.samples > 0 {
+            return latency / past.mean;
+        }
         past.samples = past.samples.saturating_add(1);
         let weight = (1.0 / f64::from(past.samples)).max(PAST_WEIGHT);
         past.mean += (latency - past.mean) * weight;
@@ -159,14 +206,14 @@
     }
 
     /// A cut starts from what actually ran, if that was less than the limit.
-    fn cut(&mut self, now: Duration, running: u32, remains: f64) {
+    fn cut(&mut self, now: Duration, running: u32, remains: f64, floor: f64) {
         let waits = self.last_cut.is_some_and(|last| now < last + CUT_INTERVAL);
         if waits {
             return;
         }
         self.last_cut = Some(now);
         let used = self.current.min(f64::from(running.max(1)));
-        self.current = (used * remains).max(1.0);
+        self.current = (used * remains).max(floor).max(1.0).min(self.current);
     }
 
     fn ceiling(&self) -> u32 {
--- /dev/null
+++ b/tests/testsuite/admission_limit.rs
@@ -0,0 +1,179 @@
+//! The limit follows what the upstream bears, whatever it announced.
+
+use std::time::Duration;
+
+use buckthornwinch::admission::limit::AdaptiveLimit;
+use buckthornwinch::admission::limit::SlotSample;
+use buckthornwinch::admission::limit::SlotVerdict;
+use buckthornwinch::admission::limit::UpstreamCapacity;
+
+const START: Duration = Duration::from_secs(1);
+const SERVICE_TIME: Duration = Duration::from_millis(10);
+
+fn capacity(slots: u32, connections: u32, cold_start: Duration) -> UpstreamCapacity {
+    UpstreamCapacity {
+        slots,
+        connections,
+        cold_start,
+    }
+}
+
+fn warm_limit(slots: u32) -> AdaptiveLimit {
+    let mut limit = AdaptiveLimit::new();
+    limit.set_capacity(START, Some(capacity(slots, slots * 4, Duration::ZERO)));
+    limit
+}
+
+/// Keeps the limit used up for a time, with an upstream that decides by how
+/// many requests run; returns when that ended.
+fn saturate(
+    limit: &mut AdaptiveLimit,
+    from: Duration,
+    time: Duration,
+    upstream: impl Fn(u32) -> (Duration, SlotVerdict),
+) -> Duration {
+    let mut now = from;
+    while now < from + time {
+        let running = limit.limit(now);
+        let (held, verdict) = upstream(running);
+        now += SERVICE_TIME / running;
+        limit.record(
+            now,
+            SlotSample {
+                class: 1,
+                held,
+                verdict,
+                running,
+            },
+        );
+    }
+    now
+}
+
+#[test]
+fn the_limit_is_bounded_by_slots_and_connections() {
+    let mut limit = AdaptiveLimit::new();
+    let before = limit.limit(START);
+
+    limit.set_capacity(START, Some(capacity(20, 12, Duration::ZERO)));
+    let announced = limit.limit(START);
+    limit.set_capacity(START, None);
+    let gone = limit.limit(START);
+
+    assert_eq!((before, announced, gone), (0, 12, 0));
+}
+
+#[test]
+fn a_cold_upstream_is_ramped_up() {
+    let mut limit = AdaptiveLimit::new();
+
+    limit.set_capacity(START, Some(capacity(16, 64, Duration::from_secs(4))));
+    let ramp: Vec<u32> = (0..6)
+        .map(|second| limit.limit(START + Duration::from_secs(second)))
+        .collect();
+
+    assert_eq!(ramp, vec![2, 5, 9, 12, 16, 16]);
+}
+
+#[test]
+fn an_upstream_that_sheds_below_its_slots_is_given_less() {
+    let mut limit = warm_limit(20);
+    let sheds_above = |bears: u32| {
+        move |running: u32| {
+            if running > bears {
+                (Duration::from_millis(1), SlotVerdict::Shed)
+            } else {
+                (SERVICE_TIME, SlotVerdict::Answered)
+            }
+        }
+    };
+
+    let shed_end = saturate(&mut limit, START, Duration::from_secs(5), sheds_above(6));
+    let while_shedding = limit.limit(shed_end);
+    let end = saturate(
+        &mut limit,
+        shed_end,
+        Duration::from_secs(5),
+        sheds_above(20),
+    );
+
+    assert!((4..=7).contains(&while_shedding), "{while_shedding}");
+    assert_eq!(limit.limit(end), 20);
+}
+
+#[test]
+fn an_upstream_that_slows_down_is_given_less() {
+    let mut limit = warm_limit(20);
+    let steady = saturate(&mut limit, START, Duration::from_secs(5), |_| {
+        (SERVICE_TIME, SlotVerdict::Answered)
+    });
+    let before = limit.limit(steady);
+
+    let slow = saturate(&mut limit, steady, Duration::from_secs(1), |running| {
+        (SERVICE_TIME * running / 5, SlotVerdict::Answered)
+    });
+
+    let slowed = limit.limit(slow);
+    assert_eq!(before, 20);
+    assert!((5..=13).contains(&slowed), "{slowed}");
+}
+
+#[test]
+fn an_upstream_that_stays_slow_whatever_runs_is_normal_in_the_end() {
+    let mut limit = warm_limit(20);
+    let answers = |held| move |_| (held, SlotVerdict::Answered);
+    let steady = saturate(
+        &mut limit,
+        START,
+        Duration::from_secs(5),
+        answers(SERVICE_TIME),
+    );
+
+    let slow = SERVICE_TIME * 10;
+    let early = saturate(&mut limit, steady, Duration::from_secs(9), answers(slow));
+    let at_first = limit.limit(early);
+    let end = saturate(&mut limit, early, Duration::from_secs(30), answers(slow));
+
+    assert_eq!(at_first, 5);
+    assert_eq!(limit.limit(end), 20);
+}
+
+#[test]
+fn a_change_from_a_fast_to_a_slow_class_is_no_slowdown() {
+    let mut limit = warm_limit(20);
+
+    for step in 0..2_000_u32 {
+        let now = START + SERVICE_TIME * step;
+        let slow_class = step >= 1_000;
+        limit.record(
+            now,
+            SlotSample {
+                class: u32::from(slow_class),
+                held: if slow_class {
+                    SERVICE_TIME * 50
+                } else {
+                    SERVICE_TIME
+                },
+                verdict: SlotVerdict::Answered,
+                running: 20,
+            },
+        );
+    }
+
+    assert_eq!(limit.limit(START), 20);
+}
+
+#[test]
+fn an_upstream_that_returns_starts_afresh() {
+    let mut limit = warm_limit(20);
+    let end = saturate(&mut limit, START, Duration::from_secs(5), |_| {
+        (SERVICE_TIME, SlotVerdict::Lost)
+    });
+    let lost = limit.limit(end);
+
+    limit.set_capacity(end, None);
+    limit.set_capacity(end, Some(capacity(20, 80, Duration::ZERO)));
+
+    assert_eq!(lost, 1);
+    assert_eq!(limit.limit(end), 20);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! The integration test program: one module per feature.
 
+mod admission_limit;
+mod admission_rates;
 mod admission_scheduler;
 mod bench_checks;
 mod declarations;
@@ -8,9 +10,9 @@
 mod fold;
 mod log_client;
 mod operator_api;
+mod operator_pages;
 mod outcome_table;
 mod outcomes;
-mod operator_pages;
 mod ownership_actor;
 mod ownership_certificate;
 mod ownership_gate;
