entry: tell that an earlier attempt may have run

Cause: an idempotent request whose first attempt was lost with its owner was routed again and refused as overloaded; the caller was told "not run" although the first attempt stood in the ledger. Change: the first failure whose outcome is unknown outweighs later refusals.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -120,16 +120,20 @@
         };
         let mut changes = self.routes.subscribe();
         let mut backoff = RETRY_BACKOFF;
+        let mut uncertain = None;
         loop {
             changes.mark_unchanged();
             let attempt = self.attempt(&entry, limit).await;
             let Err(failure) = &attempt.result else {
                 return attempt;
             };
-            if !may_repeat(failure.kind, entry.idempotent, &mut limit)
-                || Instant::now() + backoff >= limit.patience
-            {
-                return attempt;
+            if failure.kind.answer().outcome == RequestOutcome::Unknown {
+                uncertain.get_or_insert_with(|| attempt.clone());
+            }
+            let is_late = Instant::now() + backoff >= limit.patience;
+            if is_late || !may_repeat(failure.kind, entry.idempotent, &mut limit) {
+                // One attempt that may have run outweighs a later refusal.
+                return uncertain.unwrap_or(attempt);
             }
             wait_for_change(&mut changes, backoff).await;
             backoff = (backoff * 2).min(RETRY_BACKOFF_LIMIT);
--- /dev/null
+++ b/tests/testsuite/dispatch.rs
@@ -0,0 +1,123 @@
+//! The entry repeats what is safe, and tells the worst that may have happened.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use buckthornwinch::admission::load::OwnerLoad;
+use buckthornwinch::base::collections::FastSet;
+use buckthornwinch::base::error::ErrorKind;
+use buckthornwinch::delivery::message::OrderFailure;
+use buckthornwinch::delivery::message::OrderRequest;
+use buckthornwinch::delivery::message::OrderResult;
+use buckthornwinch::delivery::message::UpstreamAnswer;
+use buckthornwinch::entry::dispatch::EntryOrder;
+use buckthornwinch::entry::dispatch::OrderDispatcher;
+use buckthornwinch::routing::table::RouteInputs;
+use buckthornwinch::routing::table::RoutePublisher;
+use buckthornwinch::routing::table::RouteTable;
+use buckthornwinch::transport::server::OrderHandler;
+use bytes::Bytes;
+use tokio_util::sync::CancellationToken;
+use winch_test_support::fleet::FleetLog;
+use winch_test_support::fleet::incarnation;
+use winch_test_support::owner::order;
+use winch_test_support::records::slice;
+
+/// Answers with a script, then with answers.
+#[derive(Debug, Clone)]
+struct ScriptedOwner {
+    script: Arc<Mutex<VecDeque<ErrorKind>>>,
+}
+
+impl ScriptedOwner {
+    fn new(script: &[ErrorKind]) -> Self {
+        Self {
+            script: Arc::new(Mutex::new(script.iter().copied().collect())),
+        }
+    }
+}
+
+impl OrderHandler for ScriptedOwner {
+    async fn handle(&self, _order: OrderRequest, _cancelled: CancellationToken) -> OrderResult {
+        let next = self
+            .script
+            .lock()
+            .expect("no test panics with it")
+            .pop_front();
+        match next {
+            Some(kind) => Err(OrderFailure::new(kind, "scripted")),
+            None => Ok(UpstreamAnswer {
+                status: 200,
+                headers: Vec::new(),
+                body: Bytes::new(),
+                epoch: 0,
+            }),
+        }
+    }
+
+    fn load(&self) -> OwnerLoad {
+        OwnerLoad::default()
+    }
+}
+
+/// A dispatcher whose own process owns every slice.
+fn dispatcher(owner: ScriptedOwner) -> OrderDispatcher<ScriptedOwner> {
+    let mut log = FleetLog::with_nodes(1);
+    for index in 0..4 {
+        log.assign(&slice(index), &[1]);
+    }
+    let inputs = RouteInputs {
+        state: &log.state,
+        ended: &FastSet::default(),
+        resigned: &FastSet::default(),
+    };
+    let routes = RoutePublisher::default();
+    routes.store(RouteTable::derive(inputs, |_member| None));
+    OrderDispatcher::new(incarnation(1), "d1".into(), routes, owner)
+}
+
+fn entry_order(idempotent: bool) -> EntryOrder {
+    let mut order = order("lookups", "/prices");
+    order.chain = slice(0);
+    EntryOrder { order, idempotent }
+}
+
+async fn outcome(script: &[ErrorKind], idempotent: bool) -> Result<u16, ErrorKind> {
+    let dispatcher = dispatcher(ScriptedOwner::new(script));
+    let dispatched = dispatcher.dispatch(entry_order(idempotent)).await;
+    dispatched
+        .result
+        .map(|answer| answer.status)
+        .map_err(|failure| failure.kind)
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_was_not_run_is_routed_again() {
+    let outcome = outcome(&[ErrorKind::NotOwner, ErrorKind::LeaseLapsed], false).await;
+
+    assert_eq!(outcome, Ok(200));
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_may_have_run_is_not_repeated_unless_idempotent() {
+    let once = outcome(&[ErrorKind::ConnectionLost], false).await;
+    let repeated = outcome(&[ErrorKind::ConnectionLost], true).await;
+
+    assert_eq!(once, Err(ErrorKind::ConnectionLost));
+    assert_eq!(repeated, Ok(200));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_refused_repetition_does_not_hide_that_an_attempt_may_have_run() {
+    let outcome = outcome(&[ErrorKind::ConnectionLost, ErrorKind::Overloaded], true).await;
+
+    assert_eq!(outcome, Err(ErrorKind::ConnectionLost));
+}
+
+#[tokio::test(start_paused = true)]
+async fn overload_is_told_at_once() {
+    let outcome = outcome(&[ErrorKind::Overloaded], true).await;
+
+    assert_eq!(outcome, Err(ErrorKind::Overloaded));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod bench_checks;
 mod declarations;
 mod delivery;
+mod dispatch;
 mod error_table;
 mod fold;
 mod log_client;
