--- a/tests/testsuite/dispatch.rs
+++ b/tests/testsuite/dispatch.rs
@@ -85,8 +85,8 @@
 
 async fn outcome(script: &[ErrorKind], idempotent: bool) -> Result<u16, ErrorKind> {
     let dispatcher = dispatcher(ScriptedOwner::new(script));
-    let dispatched = dispatcher.dispatch(entry_order(idempotent)).await;
-    dispatched
+    let answer = dispatcher.dispatch(entry_order(idempotent)).await;
+    answer
         .result
         .map(|answer| answer.status)
         .map_err(|failure| failure.kind)
