state: trim only the chains that the ended served

Cause: every join walked all members for each of 16,384 chains; a change id used again after its verdict was forgotten replaced the object without a new version; the test of a refused append gave different verdicts.

Change: only chains whose first holder ended are trimmed; a change that made the current version changes nothing; the refused append's time is over while it waits for its second attempt, not while one is under way.

--- a/src/state/fold.rs
+++ b/src/state/fold.rs
@@ -42,20 +42,20 @@
             offset,
             author: batch.author,
             sequence: batch.sequence,
-            has_ended: false,
+            ended: Vec::new(),
         };
         let effects = batch
             .records
             .iter()
             .map(|record| fold.fold_record(record))
             .collect();
-        let has_ended = fold.has_ended;
+        let ended = fold.ended;
 
         if let Some(member) = self.members.get_mut(&batch.author) {
             member.sequence = batch.sequence;
         }
-        if has_ended {
-            self.trim_chains();
+        if !ended.is_empty() {
+            self.trim_chains(&ended);
         }
         effects
     }
@@ -89,7 +89,8 @@
     pub(super) offset: Offset,
     pub(super) author: Incarnation,
     pub(super) sequence: Sequence,
-    has_ended: bool,
+    /// Who ended in this batch.
+    ended: Vec<Incarnation>,
 }
 
 impl BatchFold<'_> {
@@ -209,7 +210,7 @@
         if self.state.planner == Some(member) {
             self.state.planner = None;
         }
-        self.has_ended = true;
+        self.ended.push(member);
     }
 
     fn claim(&mut self, term: Term) -> RuleResult {
--- a/src/state/fold_chain.rs
+++ b/src/state/fold_chain.rs
@@ -101,12 +101,17 @@
         }
     }
 
-    /// Drops passed positions from the front of every chain.
-    pub(super) fn trim_chains(&mut self) {
+    /// Drops passed positions from the front of every chain that `ended`
+    /// served. A chain's first position is never passed between batches.
+    pub(super) fn trim_chains(&mut self, ended: &[Incarnation]) {
         let Self {
             members, chains, ..
         } = self;
-        for chain in chains.values_mut() {
+        let served = chains.values_mut().filter(|chain| {
+            let first = chain.entries.first();
+            first.is_some_and(|entry| ended.contains(&entry.holder))
+        });
+        for chain in served {
             trim_chain(chain, |holder| members.contains_key(&holder));
         }
     }
--- a/src/state/fold_change.rs
+++ b/src/state/fold_change.rs
@@ -12,6 +12,7 @@
 use super::folded::FoldedState;
 use super::folded::ObjectState;
 use super::record::ChangeRecord;
+use crate::base::ids::Version;
 
 /// How many verdicts the state keeps.
 pub const MAX_VERDICTS: usize = 1024;
@@ -41,6 +42,12 @@
         }
     }
 
+    /// Tells whether the change made the object's current version already.
+    fn made_version(&self, record: &ChangeRecord, version: Version) -> bool {
+        let current = self.objects.get(&record.object);
+        current.is_some_and(|object| object.version == version)
+    }
+
     fn note_verdict(&mut self, change: &str, verdict: ChangeVerdict) {
         if self.verdicts.len() >= MAX_VERDICTS {
             self.verdicts.remove(0);
@@ -65,7 +72,9 @@
             return Err(IgnoreReason::WrongObject);
         }
         let verdict = self.state.judge_change(record);
-        if let ChangeVerdict::Accepted(version) = verdict {
+        if let ChangeVerdict::Accepted(version) = verdict
+            && !self.state.made_version(record, version)
+        {
             let object = ObjectState {
                 version,
                 change: record.change.clone(),
--- a/tests/testsuite/fold.rs
+++ b/tests/testsuite/fold.rs
@@ -7,6 +7,8 @@
 use buckthornwinch::base::ids::Term;
 use buckthornwinch::state::effect::FoldEffect;
 use buckthornwinch::state::effect::IgnoreReason;
+use buckthornwinch::state::fold_change::MAX_VERDICTS;
+use buckthornwinch::state::folded::ChangeVerdict;
 use buckthornwinch::state::folded::FoldedState;
 use buckthornwinch::state::record::ChainAppend;
 use buckthornwinch::state::record::ChainKey;
@@ -222,6 +224,23 @@
     assert_eq!(late, FoldEffect::Accepted);
 }
 
+#[test]
+fn forgotten_change_is_never_made_again() {
+    let mut state = fleet();
+    for index in 0..MAX_VERDICTS {
+        let record = change(&format!("other-{index}"), 99, service(4, 1));
+        fold_one(&mut state, 1, record);
+    }
+    let before = state.objects.clone();
+
+    let repeated = fold_one(&mut state, 1, change("first", 0, service(4, 7)));
+
+    let verdict = ChangeVerdict::Accepted(1);
+    assert_eq!(repeated, FoldEffect::Change(verdict));
+    assert_eq!(state.objects, before);
+    assert_eq!(state.verdicts.len(), MAX_VERDICTS);
+}
+
 fn state_of(stream: &[(u64, LogBatch)]) -> FoldedState {
     let mut state = FoldedState::default();
     for (offset, batch) in stream {
--- a/tests/testsuite/log_client.rs
+++ b/tests/testsuite/log_client.rs
@@ -114,14 +114,23 @@
 #[tokio::test]
 async fn refused_append_never_takes_effect() {
     let log = FakeLog::new(1);
-    let (follower, writer) = joined(log.clone()).await;
+    let (follower, _writer) = joined(log.clone()).await;
+    // Its time is over while it waits for the second attempt.
+    let settings = WriterSettings::builder()
+        .retry_base(Duration::from_secs(2))
+        .build();
+    let writer = start_writer(log.clone(), follower.clone(), 3, settings);
+    let records = vec![join(2, 3)];
+    writer.append(records, LIMIT).await.unwrap();
     log.set_faults(FakeFaults {
         is_down: true,
         ..FakeFaults::default()
     });
 
     let record = change("refused", 0, service(4, 1));
-    let refused = writer.append(vec![record], Duration::from_millis(50)).await;
+    let refused = writer
+        .append(vec![record], Duration::from_millis(300))
+        .await;
     log.set_faults(FakeFaults::default());
     let record = change("later", 0, service(4, 1));
     let later = writer.append(vec![record], LIMIT).await;
