configuration: submit changes, and read the verdict of a lost answer back

Cause: a change whose answer was lost was told unknown at once, also when its verdict was folded a moment later or came with a state of a peer.

Change: a clerk that appends changes in groups of at most 128 KiB, spends what is left of its time on reading verdicts back by change id, and tells that a change is not in the log only when that is certain. The node's backend and the operators' AskChange use it.

--- a/crates/winch-test-support/src/fake_log.rs
+++ b/crates/winch-test-support/src/fake_log.rs
@@ -9,6 +9,8 @@
 use buckthornwinch::log::service::LogError;
 use buckthornwinch::log::service::LogPage;
 use buckthornwinch::log::service::LogService;
+use buckthornwinch::state::codec::decode_batch;
+use buckthornwinch::state::folded::FoldedState;
 use bytes::Bytes;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -81,6 +83,20 @@
         self.with(|state| state.entries.clone())
     }
 
+    /// Folds every entry ever written by the rules alone, and shows the state
+    /// after each.
+    pub fn replay(&self, mut show: impl FnMut(&FoldedState)) -> FoldedState {
+        let mut state = FoldedState::default();
+        for (offset, data) in (0..).zip(self.written()) {
+            match decode_batch(&data) {
+                Ok(batch) => drop(state.apply(offset, &batch)),
+                Err(_) => state.skip(offset),
+            }
+            show(&state);
+        }
+        state
+    }
+
     /// Returns how many appends were tried.
     pub fn attempts(&self) -> u64 {
         self.with(|state| state.appends)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! * [`base`]: identifiers, hashing, time and the closed list of error kinds.
 //! * [`declarations`]: what operators declare.
+//! * [`configuration`]: operators' changes, from the call to the verdict.
 //! * [`handover`]: planned moves of chains.
 //! * [`hotkeys`]: keys that are too hot for their slice.
 //! * [`log`]: the client of the platform's log.
@@ -28,6 +29,7 @@
 
 pub mod admission;
 pub mod base;
+pub mod configuration;
 pub mod declarations;
 pub mod delivery;
 pub mod entry;
--- a/src/node/backend.rs
+++ b/src/node/backend.rs
@@ -10,6 +10,7 @@
 use crate::base::ids::Incarnation;
 use crate::base::ids::NodeName;
 use crate::base::ids::Offset;
+use crate::configuration::clerk::ConfigurationClerk;
 use crate::log::batch::AppendError;
 use crate::log::follower::FollowerHandle;
 use crate::log::service::LogService;
@@ -144,11 +145,8 @@
     }
 
     async fn submit(&self, changes: Vec<ChangeRecord>) -> Result<Vec<SubmitVerdict>, BackendError> {
-        let records = changes
-            .into_iter()
-            .map(|change| LogRecord::Change(Box::new(change)))
-            .collect();
-        self.append(records).await
+        let clerk = ConfigurationClerk::new(self.follower.clone(), self.writer.clone());
+        clerk.submit(changes, SUBMIT_LIMIT).await
     }
 
     async fn drain(&self, member: Incarnation) -> Result<SubmitVerdict, BackendError> {
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -48,6 +48,7 @@
 use crate::log::follower::start_follower;
 use crate::log::http::HttpLogService;
 use crate::log::http::HttpLogSettings;
+use crate::log::snapshot_keeper::SnapshotKeeper;
 use crate::log::writer::WriterSettings;
 use crate::log::writer::start_writer;
 use crate::ownership::actor::LeaseActor;
@@ -62,6 +63,7 @@
 use crate::settings::NodeSettings;
 use crate::state::folded::FoldedState;
 use crate::state::record::ChainKey;
+use crate::state::retention::SnapshotPolicy;
 use crate::telemetry::metrics::MetricRegistry;
 use crate::transport::datagram::DatagramSocket;
 use crate::transport::server::PeerServer;
@@ -295,7 +297,7 @@
         let backend = NodeBackend::builder()
             .node(settings.node.clone())
             .own(own)
-            .log(log)
+            .log(log.clone())
             .writer(writer.clone())
             .follower(follower.clone())
             .inputs(inputs.clone())
@@ -303,6 +305,14 @@
             .metrics(metrics.clone())
             .build();
         tasks.spawn(serve_operators(listeners.operators, backend, stop.clone()));
+        let keeper = SnapshotKeeper::new(
+            log,
+            follower.clone(),
+            writer.clone(),
+            own,
+            SnapshotPolicy::default(),
+        );
+        tasks.spawn(until(stop.clone(), keeper.run(TimerService)));
         let planner: Address<NodePlanner> = spawn_actor(PlannerActor::new(own, writer, sender));
 
         tasks.spawn(until(stop.clone(), tick_leases(lease.clone())));
--- a/src/operator/service.rs
+++ b/src/operator/service.rs
@@ -34,6 +34,7 @@
 use crate::base::error::RequestOutcome;
 use crate::base::ids::Incarnation;
 use crate::base::ids::Offset;
+use crate::configuration::settle::settle_change;
 use crate::state::folded::ChangeVerdict;
 use crate::state::folded::FoldedState;
 use crate::state::record::ChangeRecord;
@@ -104,10 +105,10 @@
     ) -> Result<Response<api::AskChangeResponse>, Status> {
         let change = request.into_inner().change_id;
         let verdict = match self.backend.fresh_view().await {
-            Ok(view) => settle(&view.state, &change),
+            Ok(view) => settle_change(&view.state, &change),
             Err(error) => {
                 let view = self.backend.view().await;
-                match settle(&view.state, &change) {
+                match settle_change(&view.state, &change) {
                     SubmitVerdict::Unknown(_) => SubmitVerdict::Unknown(error.detail),
                     settled @ SubmitVerdict::Settled(_) => settled,
                 }
@@ -291,13 +292,6 @@
     }
 }
 
-fn settle(state: &FoldedState, change: &str) -> SubmitVerdict {
-    match state.verdict_of(change) {
-        Some(verdict) => SubmitVerdict::Settled(verdict.clone()),
-        None => SubmitVerdict::Unknown("the log holds no verdict on it so far".into()),
-    }
-}
-
 fn find_member(view: &BackendView, node: &str) -> Result<Incarnation, Status> {
     view.state
         .members
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod admission_scheduler;
 mod bench_checks;
+mod configuration;
 mod declarations;
 mod delivery;
 mod error_table;
--- a/tests/testsuite/snapshot.rs
+++ b/tests/testsuite/snapshot.rs
@@ -10,7 +10,6 @@
 use buckthornwinch::log::writer::WriterHandle;
 use buckthornwinch::log::writer::WriterSettings;
 use buckthornwinch::log::writer::start_writer;
-use buckthornwinch::state::codec::decode_batch;
 use buckthornwinch::state::codec::encode_batch;
 use buckthornwinch::state::folded::FoldedState;
 use buckthornwinch::state::record::LogBatch;
@@ -47,20 +46,6 @@
     state
 }
 
-/// Folds every entry ever written, by the rules alone.
-fn replay_log(log: &FakeLog) -> FoldedState {
-    let mut state = FoldedState::default();
-    for (offset, data) in (0..).zip(log.written()) {
-        match decode_batch(&data) {
-            Ok(batch) => {
-                state.apply(offset, &batch);
-            }
-            Err(_) => state.skip(offset),
-        }
-    }
-    state
-}
-
 fn assemble(chunks: &[SnapshotChunk]) -> Option<FoldedState> {
     let mut assembler = SnapshotAssembler::default();
     for chunk in chunks {
@@ -270,7 +255,7 @@
 
         assert!(through > 20, "no snapshot was written");
         assert_eq!(late.counters().await.installed, 1);
-        assert_eq!(*late.state(), replay_log(&log), "seed {seed}");
+        assert_eq!(*late.state(), log.replay(|_| {}), "seed {seed}");
         assert_eq!(follower.snapshots().await.mismatches, 0);
     }
 }
@@ -302,7 +287,7 @@
     let log = FakeLog::new(1);
     log.write(encode_batch(&batch(1, 1, vec![join(1, 1)])).unwrap());
     log.write(encode_batch(&batch(1, 2, vec![LogRecord::Claim { term: 1 }])).unwrap());
-    let state = replay_log(&log);
+    let state = log.replay(|_| {});
     log.expire(2);
 
     let follower = follow(&log);
