telemetry: keep only metrics that something measures

Those that follow from the state are now kept once a second (offset, term, imbalance, churn, slots, limit, running and waiting requests), calls to the log are counted around the log's trait, and the dispatcher counts where requests go. Unavailable time is counted by class in steps of 0.1 s in which requests found no owner. Metrics that nothing measures yet are gone.

Incarnations are written in hexadecimal digits everywhere: logs had both, and as JSON numbers they exceed 2^53. The schema's test moved beside the generated code, since the workspace's test program cannot be built between a change of the schema and its code. The page of settings told lease.margin_ms wrongly.

--- a/tests/testsuite/operator_api.rs
+++ b/crates/winch-operator-api/tests/schema.rs
@@ -1,16 +1,18 @@
 //! The committed code of the operators' calls follows the schema.
 //!
-//! Run with `WINCH_UPDATE_GENERATED=1` to write the code anew.
+//! Run with `WINCH_UPDATE_GENERATED=1` to write the code anew. The test stands
+//! beside the generated code and not in the workspace's test program, since
+//! that one cannot be built between a change of the schema and its code.
 
 use std::path::Path;
 
-/// Path of the committed code, from the workspace's root.
-const GENERATED: &str = "crates/winch-operator-api/src/generated/winch.operator.v1.rs";
+/// Path of the committed code.
+const GENERATED: &str = "src/generated/winch.operator.v1.rs";
 
 fn generate() -> String {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
-    let files =
-        protox::compile(["operator.proto"], [root.join("proto")]).expect("the schema is valid");
+    let files = protox::compile(["operator.proto"], [root.join("../../proto")])
+        .expect("the schema is valid");
     let folder = tempfile::tempdir().expect("a temporary folder");
     tonic_prost_build::configure()
         .out_dir(folder.path())
--- a/src/bin/winchctl/commands/declare_lost.rs
+++ b/src/bin/winchctl/commands/declare_lost.rs
@@ -4,6 +4,7 @@
 use buckthornwinch::operator::client::ExitKind;
 use buckthornwinch::operator::client::drain::DeclareLostOptions;
 use buckthornwinch::operator::client::drain::declare_lost;
+use buckthornwinch::operator::client::report::read_incarnation;
 use clap::Args;
 
 use crate::cli::SharedArgs;
@@ -16,7 +17,7 @@
     /// there would own keys together with its successor
     node: Box<str>,
     /// The incarnation that is lost, as `status` shows it
-    #[arg(long)]
+    #[arg(long, value_name = "HEX", value_parser = read_incarnation)]
     incarnation: Incarnation,
 }
 
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -20,6 +20,7 @@
 use crate::routing::target::RequestTarget;
 use crate::routing::target::TargetRequest;
 use crate::routing::target::choose_target;
+use crate::telemetry::metrics::RoutingMetrics;
 use crate::transport::server::OrderHandler;
 
 /// How long past the deadline the owner's own verdict is waited for.
@@ -57,11 +58,18 @@
 
 /// Routes requests to this process or to others. Cloning shares it.
 #[derive(Debug, Clone)]
+#[derive(bon::Builder)]
 pub struct OrderDispatcher<H> {
+    /// This process.
     incarnation: Incarnation,
+    /// Its failure domain, which work without an owner prefers.
     domain: DomainName,
+    /// The published routes.
     routes: RoutePublisher,
+    /// Takes orders that this process owns.
     local: H,
+    /// Counts where requests go.
+    metrics: RoutingMetrics,
 }
 
 /// When to give up.
@@ -87,21 +95,6 @@
 }
 
 impl<H: OrderHandler> OrderDispatcher<H> {
-    /// Creates the dispatcher of one incarnation.
-    pub fn new(
-        incarnation: Incarnation,
-        domain: DomainName,
-        routes: RoutePublisher,
-        local: H,
-    ) -> Self {
-        Self {
-            incarnation,
-            domain,
-            routes,
-            local,
-        }
-    }
-
     /// Returns the published routes.
     pub fn routes(&self) -> &RoutePublisher {
         &self.routes
@@ -131,6 +124,7 @@
             {
                 return attempt;
             }
+            self.metrics.retries.inc();
             wait_for_change(&mut changes, backoff).await;
             backoff = (backoff * 2).min(RETRY_BACKOFF_LIMIT);
         }
@@ -212,8 +206,10 @@
 
     async fn call(&self, order: OrderRequest, member: &MemberRoute) -> OrderResult {
         if let Some(link) = &member.link {
+            self.metrics.forwarded.inc();
             return link.call(order).await;
         }
+        self.metrics.local.inc();
         debug_assert_eq!(
             member.info.incarnation, self.incarnation,
             "only this process has no link"
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -1,7 +1,8 @@
 //! The client of the platform's append-only log.
 //!
 //! [`service`] is the one trait behind which the platform's wire format stays,
-//! and [`http`] the one place that knows it. [`follower`] reads the log, folds
+//! and [`http`] the one place that knows it; [`metered`] counts the calls.
+//! [`follower`] reads the log, folds
 //! it and publishes the state; [`writer`] appends this incarnation's records
 //! and answers once the follower has folded them. [`snapshot_keeper`] appends
 //! snapshots before the log drops what they hold, and [`search`] finds one
@@ -17,6 +18,7 @@
 pub mod batch;
 pub mod follower;
 pub mod http;
+pub mod metered;
 pub mod rate;
 mod reader;
 pub mod search;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod backend;
 pub mod datagrams;
+pub mod figures;
 pub mod handler;
 pub mod identity;
 pub mod inputs;
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -18,6 +18,7 @@
 use super::backend::follow_offsets;
 use super::datagrams::DatagramReceiver;
 use super::datagrams::NodeSender;
+use super::figures::FigureKeeper;
 use super::handler::NodeHandler;
 use super::identity::new_incarnation;
 use super::inputs::NodeInputs;
@@ -48,6 +49,7 @@
 use crate::log::follower::start_follower;
 use crate::log::http::HttpLogService;
 use crate::log::http::HttpLogSettings;
+use crate::log::metered::MeteredLog;
 use crate::log::writer::WriterSettings;
 use crate::log::writer::start_writer;
 use crate::ownership::actor::LeaseActor;
@@ -150,7 +152,8 @@
 type NodeOwner = OwnerService<NodeGate>;
 type NodeLease = LeaseActor<SystemClock, NodeSender>;
 type NodeHandover = HandoverCoordinator<NodeSender, NodeReadiness>;
-type NodePlanner = PlannerActor<HttpLogService, NodeSender>;
+type NodeLog = MeteredLog<HttpLogService>;
+type NodePlanner = PlannerActor<NodeLog, NodeSender>;
 
 /// The parts of one incarnation.
 struct NodeProcess {
@@ -159,7 +162,7 @@
     inputs: watch::Receiver<NodeInputs>,
     leaving: watch::Sender<bool>,
     owner: Arc<NodeOwner>,
-    clerk: MembershipClerk<HttpLogService>,
+    clerk: MembershipClerk<NodeLog>,
     registry: UpstreamRegistry,
     /// Ends the parts that callers and other processes talk to.
     stop_serving: CancellationToken,
@@ -185,6 +188,7 @@
         let entries = TaskTracker::new();
 
         let log = HttpLogService::new(log_settings(&settings))?;
+        let log = MeteredLog::new(log, metrics.log.clone());
         let follower = start_follower(
             log.clone(),
             FoldedState::default(),
@@ -292,6 +296,19 @@
             stop.clone(),
             follow_offsets(inputs.clone(), offsets_sender),
         ));
+        let figures = FigureKeeper::builder()
+            .own(own)
+            .metrics(metrics.clone())
+            .log(log.clone())
+            .follower(follower.clone())
+            .inputs(inputs.clone())
+            .upstream(registry.subscribe())
+            .load({
+                let owner = Arc::clone(&owner);
+                move || owner.load()
+            })
+            .build();
+        tasks.spawn(until(stop.clone(), figures.run()));
         let backend = NodeBackend::builder()
             .node(settings.node.clone())
             .own(own)
@@ -338,8 +355,13 @@
             forget_entries(inputs.clone(), peers.clone()),
         ));
         tasks.spawn(peers.serve(listeners.peers, stop.clone()));
-        let dispatcher =
-            OrderDispatcher::new(own, settings.failure_domain.clone(), routes, handler);
+        let dispatcher = OrderDispatcher::builder()
+            .incarnation(own)
+            .domain(settings.failure_domain.clone())
+            .routes(routes)
+            .local(handler)
+            .metrics(metrics.routing.clone())
+            .build();
         let entry = EntryServer::new(dispatcher, entry_limits(&settings), observer);
         entries.spawn(entry.serve(listeners.callers, stop_serving.clone()));
         tasks.spawn(serve_local(
@@ -426,7 +448,7 @@
 
 async fn serve_operators(
     listener: TcpListener,
-    backend: NodeBackend<HttpLogService>,
+    backend: NodeBackend<NodeLog>,
     stop: CancellationToken,
 ) {
     if let Err(error) = crate::operator::server::serve(listener, backend, stop).await {
--- a/src/operator/client/drain.rs
+++ b/src/operator/client/drain.rs
@@ -10,6 +10,7 @@
 use super::report::ExitKind;
 use super::report::OperationReport;
 use super::report::verdict_word;
+use super::report::write_incarnation;
 use crate::base::ids::Incarnation;
 
 /// Who is declared lost.
@@ -80,10 +81,10 @@
             node, incarnation, ..
         } = self;
         match self.verdict {
-            api::Verdict::Accepted => format!("{node} ({incarnation}): {}", self.done),
+            api::Verdict::Accepted => format!("{node} ({incarnation:x}): {}", self.done),
             verdict => {
                 let word = verdict_word(verdict);
-                format!("{node} ({incarnation}): {word}: {}", self.detail)
+                format!("{node} ({incarnation:x}): {word}: {}", self.detail)
             }
         }
     }
@@ -91,7 +92,7 @@
     fn json(&self) -> Value {
         json!({
             "node": self.node,
-            "incarnation": self.incarnation,
+            "incarnation": write_incarnation(self.incarnation),
             "verdict": verdict_word(self.verdict),
             "detail": self.detail,
         })
--- a/src/operator/client/explain.rs
+++ b/src/operator/client/explain.rs
@@ -7,6 +7,7 @@
 use super::context::ClientContext;
 use super::context::call_error;
 use super::report::OperationReport;
+use super::report::write_incarnation;
 use super::report::write_table;
 
 /// What is explained.
@@ -89,7 +90,7 @@
             .map(|position| {
                 json!({
                     "epoch": position.epoch,
-                    "incarnation": position.incarnation,
+                    "incarnation": write_incarnation(position.incarnation),
                     "node": position.node,
                     "failure_domain": position.failure_domain,
                     "state": state_word(position.state()),
--- a/src/operator/client/report.rs
+++ b/src/operator/client/report.rs
@@ -2,9 +2,12 @@
 
 use comfy_table::Table;
 use comfy_table::presets::NOTHING;
+use eyre::WrapErr;
 use serde_json::Value;
 use winch_operator_api::Verdict;
 
+use crate::base::ids::Incarnation;
+
 /// Exit code of `winchctl`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ExitKind {
@@ -57,6 +60,20 @@
     }
 }
 
+/// Writes an incarnation as the logs do, in hexadecimal digits. A number of
+/// its size is no exact number of JSON either.
+pub fn write_incarnation(incarnation: Incarnation) -> String {
+    format!("{incarnation:x}")
+}
+
+/// Reads an incarnation as it is written.
+///
+/// Fails with what is allowed.
+pub fn read_incarnation(text: &str) -> eyre::Result<Incarnation> {
+    Incarnation::from_str_radix(text, 16)
+        .wrap_err("name up to 16 hexadecimal digits, as `status` shows them")
+}
+
 /// Returns a verdict's word.
 pub fn verdict_word(verdict: Verdict) -> &'static str {
     match verdict {
--- a/src/operator/client/status.rs
+++ b/src/operator/client/status.rs
@@ -7,6 +7,7 @@
 use super::context::ClientContext;
 use super::context::call_error;
 use super::report::OperationReport;
+use super::report::write_incarnation;
 use super::report::write_table;
 
 /// The state of the fleet, as one process knows it.
@@ -42,7 +43,7 @@
             member.slices.to_string(),
             member.successor_slices.to_string(),
             member.witnesses.join(","),
-            member.incarnation.to_string(),
+            write_incarnation(member.incarnation),
         ]
     });
     write_table(
@@ -95,8 +96,7 @@
             class.answered.to_string(),
             class.not_run.to_string(),
             class.unknown.to_string(),
-            class.queued.to_string(),
-            class.running.to_string(),
+            format!("{:.1}", class.unavailable_seconds),
         ]
     });
     write_table(
@@ -108,8 +108,7 @@
             "ANSWERED",
             "NOT RUN",
             "UNKNOWN",
-            "QUEUED",
-            "RUNNING",
+            "UNAVAILABLE S",
         ],
         rows,
     )
@@ -130,8 +129,14 @@
         parts.push(write_services(&status.services));
         parts.push(write_classes(&status.classes));
         parts.push(format!(
-            "since {} started: {} chains moved; it took over {}, {:.3} chain seconds unavailable",
-            status.node, status.chain_moves, status.takeovers, status.unavailable_seconds
+            "{}: {} of at most {} requests run, {} wait; since it joined {} chains have moved, \
+             {} of them to it",
+            status.node,
+            status.running,
+            status.limit,
+            status.waiting,
+            status.chain_moves,
+            status.takeovers
         ));
         parts.join("\n\n")
     }
@@ -140,7 +145,7 @@
         let status = &self.status;
         json!({
             "node": status.node,
-            "incarnation": status.incarnation,
+            "incarnation": write_incarnation(status.incarnation),
             "next_offset": status.next_offset,
             "term": status.term,
             "planner": status.planner,
@@ -148,8 +153,10 @@
             "services": status.services.iter().map(service_json).collect::<Vec<Value>>(),
             "classes": status.classes.iter().map(class_json).collect::<Vec<Value>>(),
             "chain_moves": status.chain_moves,
-            "unavailable_seconds": status.unavailable_seconds,
             "takeovers": status.takeovers,
+            "running": status.running,
+            "waiting": status.waiting,
+            "limit": status.limit,
         })
     }
 }
@@ -157,7 +164,7 @@
 fn member_json(member: &api::MemberStatus) -> Value {
     json!({
         "node": member.node,
-        "incarnation": member.incarnation,
+        "incarnation": write_incarnation(member.incarnation),
         "region": member.region,
         "failure_domain": member.failure_domain,
         "operator_address": member.operator_address,
@@ -190,7 +197,6 @@
         "unknown": class.unknown,
         "p50_seconds": class.p50_seconds,
         "p99_seconds": class.p99_seconds,
-        "queued": class.queued,
-        "running": class.running,
+        "unavailable_seconds": class.unavailable_seconds,
     })
 }
--- a/src/operator/client/watch.rs
+++ b/src/operator/client/watch.rs
@@ -9,6 +9,7 @@
 use super::context::ClientContext;
 use super::context::call_error;
 use super::report::OperationReport;
+use super::report::write_incarnation;
 use crate::operator::convert::key_from_api;
 
 /// Changes as they come.
@@ -67,7 +68,7 @@
             }
             Some(Event::MemberChanged(changed)) => {
                 let word = member_word(changed.event());
-                format!("{} ({}): {word}", changed.node, changed.incarnation)
+                format!("{} ({:x}): {word}", changed.node, changed.incarnation)
             }
             Some(Event::OwnersMoved(moved)) => {
                 format!(
@@ -96,7 +97,7 @@
             Some(Event::MemberChanged(changed)) => json!({
                 "event": format!("member-{}", member_word(changed.event())),
                 "node": changed.node,
-                "incarnation": changed.incarnation,
+                "incarnation": write_incarnation(changed.incarnation),
             }),
             Some(Event::OwnersMoved(moved)) => json!({
                 "event": "owners-moved",
--- a/src/operator/service.rs
+++ b/src/operator/service.rs
@@ -190,7 +190,7 @@
         let view = self.backend.view().await;
         let member = find_member(&view, &request.node)?;
         log::info!(
-            "operator: {} drains {} ({member})",
+            "operator: {} drains {} ({member:x})",
             request.operator,
             request.node
         );
@@ -212,12 +212,12 @@
         let member = find_member(&view, &request.node)?;
         if request.incarnation != member {
             return Err(Status::failed_precondition(format!(
-                "{} is incarnation {member} now; look whether it is still lost",
+                "{} is incarnation {member:x} now; look whether it is still lost",
                 request.node
             )));
         }
         log::warn!(
-            "operator: {} declares {} ({member}) lost",
+            "operator: {} declares {} ({member:x}) lost",
             request.operator,
             request.node
         );
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -7,26 +7,13 @@
 
 use super::backend::BackendView;
 use crate::base::collections::FastMap;
-use crate::base::ids::Epoch;
 use crate::base::ids::Incarnation;
 use crate::declarations::ClassDeclaration;
 use crate::declarations::Declaration;
 use crate::declarations::ServiceDeclaration;
-use crate::planner::placement::PlacementCandidate;
 use crate::planner::placement::candidates;
-use crate::routing::table::serving_position;
-use crate::state::folded::HolderChain;
+use crate::routing::tally::SliceTally;
 use crate::state::folded::MemberState;
-use crate::state::record::ChainKey;
-use crate::state::record::ChainSubject;
-
-#[derive(Debug, Default)]
-struct SliceTally {
-    owned: FastMap<Incarnation, u32>,
-    succeeding: FastMap<Incarnation, u32>,
-    unowned: u32,
-    without_successor: u32,
-}
 
 /// Tells the status.
 pub fn fleet_status(view: &BackendView) -> api::StatusResponse {
@@ -34,7 +21,9 @@
     let mut classes = Vec::new();
     for declaration in declarations(view) {
         match declaration {
-            Declaration::Service(service) => tallies.push((service, tally_slices(view, service))),
+            Declaration::Service(service) => {
+                tallies.push((service, SliceTally::count(view.route_inputs(), service)));
+            }
             Declaration::PriorityClass(class) => classes.push(class_status(view, class)),
             Declaration::OwnershipRule(_) => {}
         }
@@ -42,6 +31,7 @@
     classes.sort_by_key(|class| class.rank);
     let planner = &view.metrics.planner;
     let ownership = &view.metrics.ownership;
+    let upstream = &view.metrics.upstream;
     api::StatusResponse {
         node: view.node.to_string(),
         incarnation: view.incarnation,
@@ -63,8 +53,10 @@
             .collect(),
         classes,
         chain_moves: planner.moves.get(),
-        unavailable_seconds: ownership.unavailable.get(),
         takeovers: ownership.takeovers.get(),
+        running: upstream.running.get().unsigned_abs(),
+        waiting: upstream.waiting.get().unsigned_abs(),
+        limit: upstream.limit.get().unsigned_abs(),
     }
 }
 
@@ -72,7 +64,7 @@
 /// member any more.
 pub(super) fn node_name(view: &BackendView, incarnation: Incarnation) -> String {
     view.state.members.get(&incarnation).map_or_else(
-        || incarnation.to_string(),
+        || format!("{incarnation:x}"),
         |member| member.info.node.to_string(),
     )
 }
@@ -84,40 +76,6 @@
         .filter_map(|object| object.declaration.as_ref())
 }
 
-fn tally_slices(view: &BackendView, service: &ServiceDeclaration) -> SliceTally {
-    let mut tally = SliceTally::default();
-    for slice in 0..service.slices {
-        let key = ChainKey {
-            service: service.name.clone(),
-            subject: ChainSubject::Slice(slice),
-        };
-        let chain = view.state.chains.get(&key);
-        let serving = chain
-            .and_then(|chain| Some((chain, serving_position(&key, chain, view.route_inputs())?)));
-        let Some((chain, route)) = serving else {
-            tally.unowned += 1;
-            continue;
-        };
-        *tally.owned.entry(route.owner).or_default() += 1;
-        let successors = later_positions(chain, route.epoch);
-        match serving_position(&key, &successors, view.route_inputs()) {
-            Some(next) => *tally.succeeding.entry(next.owner).or_default() += 1,
-            None => tally.without_successor += 1,
-        }
-    }
-    tally
-}
-
-/// Returns the positions of a chain after an epoch.
-fn later_positions(chain: &HolderChain, epoch: Epoch) -> HolderChain {
-    let passed = (epoch + 1 - chain.base) as usize;
-    HolderChain {
-        base: epoch + 1,
-        entries: chain.entries[passed..].to_vec(),
-        target: chain.target,
-    }
-}
-
 fn member_status(
     view: &BackendView,
     member: &MemberState,
@@ -162,32 +120,7 @@
         slices: service.slices.into(),
         unowned: tally.unowned,
         without_successor: tally.without_successor,
-        imbalance: imbalance(&eligible, tally),
-    }
-}
-
-/// Greatest load of one node over the mean, minus 1, where a node's load is
-/// its slices by its weight. 0 without a node or slice.
-fn imbalance(eligible: &[PlacementCandidate], tally: &SliceTally) -> f64 {
-    let owned = |candidate: &PlacementCandidate| {
-        f64::from(
-            tally
-                .owned
-                .get(&candidate.incarnation)
-                .copied()
-                .unwrap_or(0),
-        )
-    };
-    let slices: f64 = eligible.iter().map(owned).sum();
-    let weight: f64 = eligible.iter().map(|candidate| candidate.weight).sum();
-    let greatest = eligible
-        .iter()
-        .map(|candidate| owned(candidate) / candidate.weight)
-        .fold(0.0, f64::max);
-    if slices == 0.0 {
-        0.0
-    } else {
-        greatest * weight / slices - 1.0
+        imbalance: tally.imbalance(&eligible),
     }
 }
 
@@ -202,7 +135,6 @@
         unknown: figures.unknown,
         p50_seconds: figures.p50,
         p99_seconds: figures.p99,
-        queued: figures.queued,
-        running: figures.running,
+        unavailable_seconds: figures.unavailable,
     }
 }
--- a/src/ownership/actor.rs
+++ b/src/ownership/actor.rs
@@ -232,7 +232,7 @@
     fn append(&self, certificate: LapseCertificate) {
         let subject = certificate.subject;
         if let Err(error) = self.appends.try_send(certificate) {
-            log::warn!("ownership: cannot append the end of {subject} yet: {error}");
+            log::warn!("ownership: cannot append the end of {subject:x} yet: {error}");
         }
     }
 
--- a/src/ownership/decision.rs
+++ b/src/ownership/decision.rs
@@ -39,7 +39,7 @@
         match self {
             Self::LeaseLive => write!(f, "the lease is live"),
             Self::LeaseLapsed => write!(f, "the lease is not live any more"),
-            Self::LapseStated(subject) => write!(f, "stated the lapse of {subject}"),
+            Self::LapseStated(subject) => write!(f, "stated the lapse of {subject:x}"),
             Self::CertificateFormed(certificate) => {
                 let LapseCertificate {
                     subject,
@@ -48,12 +48,12 @@
                 } = certificate;
                 write!(
                     f,
-                    "certified the lapse of {subject} by {witnesses:?} under set {set_version}"
+                    "certified the lapse of {subject:x} by {witnesses:x?} under set {set_version}"
                 )
             }
             Self::CertificateReceived(certificate) => {
                 let subject = certificate.subject;
-                write!(f, "received a certificate of the lapse of {subject}")
+                write!(f, "received a certificate of the lapse of {subject:x}")
             }
             Self::Tenure(TenureChange::Began(key, tenure)) => {
                 let cause = describe_cause(tenure.cause);
--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -39,7 +39,7 @@
     FieldRule::optional("limits.outcome_bytes", number(1024, 4 * GIBIBYTE), "most bytes of answers that are kept with the outcomes"),
     FieldRule::optional("lease.renew_interval_ms", number(10, 10_000), "pause between two renewals, in milliseconds"),
     FieldRule::optional("lease.lease_ms", number(50, 60_000), "how long a renewal holds, in milliseconds; the same on every node"),
-    FieldRule::optional("lease.margin_ms", number(1, 10_000), "what a witness adds before it states that a lease has ended, in milliseconds"),
+    FieldRule::optional("lease.margin_ms", number(1, 10_000), "by how much less a holder relies on a promise than its witness keeps it, in milliseconds"),
     FieldRule::optional("lease.tick_gap_ms", number(10, 10_000), "gap between two ticks that counts as a pause of the process, in milliseconds"),
     FieldRule::optional("logging.format", FORMATS, "form of a log line"),
     FieldRule::optional("logging.level", LEVELS, "least severe level that is logged; debug adds a line for each routing decision"),
--- a/src/settings/sections.rs
+++ b/src/settings/sections.rs
@@ -146,7 +146,7 @@
     #[serde(rename = "lease_ms", with = "milliseconds")]
     #[builder(default = Duration::from_millis(700))]
     pub lease: Duration,
-    /// What a witness adds before it states that a lease has ended.
+    /// By how much less a holder relies on a promise than its witness keeps it.
     #[serde(rename = "margin_ms", with = "milliseconds")]
     #[builder(default = Duration::from_millis(20))]
     pub margin: Duration,
--- a/src/telemetry/classes.rs
+++ b/src/telemetry/classes.rs
@@ -1,16 +1,56 @@
 //! The metrics of one priority class, held directly by the request path.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
+use prometheus::Counter;
 use prometheus::Histogram;
 use prometheus::IntCounter;
-use prometheus::IntGauge;
 use prometheus::core::Metric;
 use prometheus::proto::Bucket;
 
 use crate::base::error::ErrorKind;
 use crate::base::error::RequestOutcome;
 
+/// Step in which unavailable time is counted.
+const WINDOW: Duration = Duration::from_millis(100);
+
+/// Remembers the last step that was counted as unavailable.
+#[derive(Debug)]
+pub(super) struct UnavailableWindows {
+    started: Instant,
+    last: AtomicU64,
+}
+
+impl UnavailableWindows {
+    pub(super) fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            last: AtomicU64::new(0),
+        }
+    }
+
+    /// Enters the step of a time; tells whether it was not entered before.
+    fn enter(&self, at: Duration) -> bool {
+        let window = (at.as_millis() / WINDOW.as_millis()) as u64 + 1;
+        self.last.fetch_max(window, Ordering::Relaxed) < window
+    }
+}
+
+/// Tells whether a request of this kind found no owner that serves.
+fn is_unavailable(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::NoOwner
+            | ErrorKind::NotOwner
+            | ErrorKind::OwnerUnreachable
+            | ErrorKind::LeaseLapsed
+    )
+}
+
 /// The metrics of one priority class.
 ///
 /// Made once when the class is declared; every use is an atomic operation.
@@ -21,11 +61,8 @@
     pub(super) unknown: IntCounter,
     pub(super) errors: Box<[IntCounter]>,
     pub(super) latency: Histogram,
-    pub(super) wait: Histogram,
-    /// Requests that wait at this owner.
-    pub queue: IntGauge,
-    /// Requests that run on this process's upstream.
-    pub running: IntGauge,
+    pub(super) unavailable: Counter,
+    pub(super) windows: Arc<UnavailableWindows>,
 }
 
 impl ClassMetrics {
@@ -35,8 +72,16 @@
         self.latency.observe(latency.as_secs_f64());
     }
 
-    /// Counts a request that failed.
+    /// Counts a request that failed now.
     pub fn count_error(&self, kind: ErrorKind, latency: Duration) {
+        self.count_error_at(kind, latency, self.windows.started.elapsed());
+    }
+
+    /// Counts a request that failed at a time since the class was declared.
+    pub fn count_error_at(&self, kind: ErrorKind, latency: Duration, at: Duration) {
+        if is_unavailable(kind) && self.windows.enter(at) {
+            self.unavailable.inc_by(WINDOW.as_secs_f64());
+        }
         match kind.answer().outcome {
             RequestOutcome::Answered => self.answered.inc(),
             RequestOutcome::NotRun => self.not_run.inc(),
@@ -48,11 +93,6 @@
         }
         self.latency.observe(latency.as_secs_f64());
     }
-
-    /// Notes how long a request waited before it ran.
-    pub fn observe_wait(&self, wait: Duration) {
-        self.wait.observe(wait.as_secs_f64());
-    }
 }
 
 /// A class's figures at one moment.
@@ -69,10 +109,8 @@
     pub p50: f64,
     /// 99th percentile of the latency in seconds, likewise.
     pub p99: f64,
-    /// Requests that wait at this owner.
-    pub queued: u64,
-    /// Requests that run on this process's upstream.
-    pub running: u64,
+    /// Time in which requests found no owner that serves, in seconds.
+    pub unavailable: f64,
 }
 
 impl ClassMetrics {
@@ -84,8 +122,7 @@
             unknown: self.unknown.get(),
             p50: quantile(&self.latency, 0.5),
             p99: quantile(&self.latency, 0.99),
-            queued: self.queue.get().unsigned_abs(),
-            running: self.running.get().unsigned_abs(),
+            unavailable: self.unavailable.get(),
         }
     }
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -1,6 +1,8 @@
 //! The process's metrics, in one typed group for each slice.
 
-use prometheus::Counter;
+use std::sync::Arc;
+
+use prometheus::CounterVec;
 use prometheus::Encoder;
 use prometheus::Gauge;
 use prometheus::GaugeVec;
@@ -9,7 +11,6 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
-use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -18,6 +19,7 @@
 use super::catalogue::MetricInfo;
 use super::catalogue::find_metric;
 use super::classes::ClassMetrics;
+use super::classes::UnavailableWindows;
 use crate::base::error::ErrorKind;
 use crate::base::error::RequestOutcome;
 
@@ -39,8 +41,6 @@
     pub forwarded: IntCounter,
     /// Requests that were sent again after a proven not run.
     pub retries: IntCounter,
-    /// Retries that were not made, for want of budget.
-    pub budget_exhausted: IntCounter,
 }
 
 /// Metrics of leases and ownership.
@@ -60,8 +60,6 @@
     pub chains_served: IntGauge,
     /// Chains that this process took over.
     pub takeovers: IntCounter,
-    /// Time that chains taken over were without an owner, in seconds.
-    pub unavailable: Counter,
 }
 
 /// Metrics of the platform's log.
@@ -88,12 +86,6 @@
 pub struct TransportMetrics {
     /// Datagrams that could not be decoded.
     pub undecodable_datagrams: IntCounter,
-    /// Datagrams that found their mailbox full.
-    pub overflowed_datagrams: IntCounter,
-    /// Connections to other processes.
-    pub connections: IntGauge,
-    /// Connections that went silent and were replaced.
-    pub replaced: IntCounter,
 }
 
 /// Metrics of placement.
@@ -125,14 +117,10 @@
     pub limit: IntGauge,
     /// Whether the announcement is fresh, 0 or 1.
     pub announced: IntGauge,
-    /// Outcomes that are kept for repetitions.
-    pub outcome_entries: IntGauge,
-    /// Repetitions answered from memory.
-    pub repeated_stored: IntCounter,
-    /// Repetitions joined to the running request.
-    pub repeated_joined: IntCounter,
-    /// Repetitions told that the outcome is unknown.
-    pub repeated_unknown: IntCounter,
+    /// Requests that run.
+    pub running: IntGauge,
+    /// Requests that wait at this owner.
+    pub waiting: IntGauge,
 }
 
 #[derive(Debug, Clone)]
@@ -140,9 +128,7 @@
     requests: IntCounterVec,
     errors: IntCounterVec,
     latency: HistogramVec,
-    wait: HistogramVec,
-    queue: IntGaugeVec,
-    running: IntGaugeVec,
+    unavailable: CounterVec,
 }
 
 /// Every metric of one process.
@@ -210,9 +196,8 @@
                 })
                 .collect(),
             latency: families.latency.with_label_values(&[class]),
-            wait: families.wait.with_label_values(&[class]),
-            queue: families.queue.with_label_values(&[class]),
-            running: families.running.with_label_values(&[class]),
+            unavailable: families.unavailable.with_label_values(&[class]),
+            windows: Arc::new(UnavailableWindows::new()),
         }
     }
 
@@ -265,13 +250,6 @@
         gauge
     }
 
-    fn gauges(&self, name: &str) -> IntGaugeVec {
-        let labels = Self::info(name).labels;
-        let gauges = IntGaugeVec::new(Self::options(name), labels).expect("a valid name");
-        self.register(&gauges);
-        gauges
-    }
-
     fn histograms(&self, name: &str) -> HistogramVec {
         let info = Self::info(name);
         let options = HistogramOpts::new(info.name, info.help).buckets(LATENCY_BOUNDS.to_vec());
@@ -281,13 +259,15 @@
     }
 
     fn classes(&self) -> ClassFamilies {
+        let options = Self::options("winch_unavailable_seconds_total");
+        let labels = Self::info("winch_unavailable_seconds_total").labels;
+        let unavailable = CounterVec::new(options, labels).expect("a valid name");
+        self.register(&unavailable);
         ClassFamilies {
             requests: self.counters("winch_requests_total"),
             errors: self.counters("winch_request_errors_total"),
             latency: self.histograms("winch_request_seconds"),
-            wait: self.histograms("winch_queue_wait_seconds"),
-            queue: self.gauges("winch_queue_length"),
-            running: self.gauges("winch_running_requests"),
+            unavailable,
         }
     }
 
@@ -296,14 +276,10 @@
             local: self.counter("winch_requests_local_total"),
             forwarded: self.counter("winch_requests_forwarded_total"),
             retries: self.counter("winch_routing_retries_total"),
-            budget_exhausted: self.counter("winch_retry_budget_exhausted_total"),
         }
     }
 
     fn ownership(&self) -> OwnershipMetrics {
-        let unavailable = Counter::with_opts(Self::options("winch_unavailable_seconds_total"))
-            .expect("a valid name");
-        self.register(&unavailable);
         OwnershipMetrics {
             lease_live: self.gauge("winch_lease_live"),
             renewals: self.counter("winch_lease_renewals_total"),
@@ -312,7 +288,6 @@
             certificates: self.counter("winch_certificates_total"),
             chains_served: self.gauge("winch_chains_served"),
             takeovers: self.counter("winch_takeovers_total"),
-            unavailable,
         }
     }
 
@@ -332,12 +307,8 @@
     }
 
     fn transport(&self) -> TransportMetrics {
-        let dropped = self.counters("winch_datagrams_dropped_total");
         TransportMetrics {
-            undecodable_datagrams: dropped.with_label_values(&["undecodable"]),
-            overflowed_datagrams: dropped.with_label_values(&["overflow"]),
-            connections: self.gauge("winch_peer_connections"),
-            replaced: self.counter("winch_peer_connections_replaced_total"),
+            undecodable_datagrams: self.counter("winch_datagrams_dropped_total"),
         }
     }
 
@@ -355,15 +326,12 @@
     }
 
     fn upstream(&self) -> UpstreamMetrics {
-        let repetitions = self.counters("winch_repetitions_total");
         UpstreamMetrics {
             slots: self.gauge("winch_upstream_slots"),
             limit: self.gauge("winch_upstream_limit"),
             announced: self.gauge("winch_upstream_announced"),
-            outcome_entries: self.gauge("winch_outcome_entries"),
-            repeated_stored: repetitions.with_label_values(&["stored"]),
-            repeated_joined: repetitions.with_label_values(&["joined"]),
-            repeated_unknown: repetitions.with_label_values(&["unknown"]),
+            running: self.gauge("winch_owner_running"),
+            waiting: self.gauge("winch_owner_waiting"),
         }
     }
 }
--- a/tests/testsuite/winchctl.rs
+++ b/tests/testsuite/winchctl.rs
@@ -20,9 +20,9 @@
 const DECLARATIONS: &str = "examples/hanmaru/declarations";
 
 const MEMBERS: [(&str, &str, Incarnation); 3] = [
-    ("catalogue-1", "daegu-a", 101),
-    ("catalogue-2", "daegu-b", 102),
-    ("catalogue-3", "busan", 103),
+    ("catalogue-1", "daegu-a", 0x101),
+    ("catalogue-2", "daegu-b", 0x102),
+    ("catalogue-3", "busan", 0x103),
 ];
 
 /// A server with a fake behind it, and what was typed and printed so far.
@@ -125,7 +125,9 @@
     session.run("get service catalogue --output json").await;
     session.run("get Service cooperage").await;
     session.run("explain catalogue 4711").await;
-    session.backend.assign("catalogue", 1024, &[101, 102, 103]);
+    session
+        .backend
+        .assign("catalogue", 1024, &[0x101, 0x102, 0x103]);
     session.run("explain catalogue 4711").await;
     session.run("explain orders 4711").await;
     session.run("explain cooperage 4711").await;
@@ -188,14 +190,16 @@
     session
         .run(&format!("apply {DECLARATIONS} --change-id first"))
         .await;
-    session.backend.assign("catalogue", 1024, &[101, 102, 103]);
+    session
+        .backend
+        .assign("catalogue", 1024, &[0x101, 0x102, 0x103]);
     let lookups = session.backend.metrics().class("lookups");
     lookups.count_answer(std::time::Duration::from_millis(3));
 
     session.run("status").await;
     session.run("drain catalogue-2").await;
     session.run("drain catalogue-9").await;
-    session.backend.certify(103);
+    session.backend.certify(0x103);
     session.run("status").await;
     session.run("explain catalogue 4711").await;
     session
@@ -226,7 +230,9 @@
     while session.backend.watchers() == 0 {
         tokio::task::yield_now().await;
     }
-    session.backend.assign("catalogue", 1024, &[101, 102, 103]);
+    session
+        .backend
+        .assign("catalogue", 1024, &[0x101, 0x102, 0x103]);
     session.run("drain catalogue-2").await;
     session
         .run("declare-lost catalogue-3 --incarnation 103")
