--- a/tests/testsuite/dispatch.rs
+++ b/tests/testsuite/dispatch.rs
@@ -16,6 +16,7 @@
 use buckthornwinch::routing::table::RouteInputs;
 use buckthornwinch::routing::table::RoutePublisher;
 use buckthornwinch::routing::table::RouteTable;
+use buckthornwinch::telemetry::metrics::MetricRegistry;
 use buckthornwinch::transport::server::OrderHandler;
 use bytes::Bytes;
 use tokio_util::sync::CancellationToken;
@@ -74,7 +75,13 @@
     };
     let routes = RoutePublisher::default();
     routes.store(RouteTable::derive(inputs, |_member| None));
-    OrderDispatcher::new(incarnation(1), "d1".into(), routes, owner)
+    OrderDispatcher::builder()
+        .incarnation(incarnation(1))
+        .domain("domain-1".into())
+        .routes(routes)
+        .local(owner)
+        .metrics(MetricRegistry::new().routing)
+        .build()
 }
 
 fn entry_order(idempotent: bool) -> EntryOrder {
