--- a/crates/winch-bench/src/fleet/harness.rs
+++ b/crates/winch-bench/src/fleet/harness.rs
@@ -13,7 +13,6 @@
 use eyre::eyre;
 use reqwest::Client;
 use tempfile::TempDir;
-use tokio::process::Command;
 use tokio::time::Instant;
 use winch_standin::log_standin::LogFaults;
 use winch_standin::log_standin::LogStats;
@@ -21,6 +20,7 @@
 use winch_standin::upstream_standin::UpstreamFaults;
 use winch_standin::upstream_standin::read_ledger_file;
 
+use super::apply::create_declarations;
 use super::deployment::DeploymentSize;
 use super::deployment::SERVICE_TIME;
 use super::deployment::ServiceSize;
@@ -135,8 +135,9 @@
             .wait_for(&format!("http://{log_address}/stats"))
             .await?;
         fleet.start_nodes()?;
-        fleet.wait_until_ready().await?;
+        fleet.wait_until_up().await?;
         fleet.apply_declarations().await?;
+        fleet.wait_until_ready().await?;
         Ok(fleet)
     }
 
@@ -221,6 +222,15 @@
         })
     }
 
+    /// Waits until every node takes calls.
+    async fn wait_until_up(&self) -> eyre::Result<()> {
+        for node in &self.nodes {
+            let url = format!("http://{}/healthz", node.addresses.local);
+            self.wait_for(&url).await?;
+        }
+        Ok(())
+    }
+
     /// Waits until every node says that it is ready.
     ///
     /// # Errors
@@ -266,29 +276,13 @@
         text
     }
 
-    /// Applies the deployment's declarations with `winchctl`.
+    /// Creates what the deployment declares.
     async fn apply_declarations(&self) -> eyre::Result<()> {
         let node = self
             .nodes
             .first()
             .ok_or_else(|| eyre!("the fleet is empty"))?;
-        let output = Command::new(sibling_program("winchctl")?)
-            .arg("apply")
-            .arg("--server")
-            .arg(node.addresses.operators.to_string())
-            .arg(&self.options.declarations)
-            .output()
-            .await
-            .wrap_err("cannot run winchctl")?;
-        if !output.status.success() {
-            bail!(
-                "winchctl apply ended with {}: {}{}",
-                output.status,
-                String::from_utf8_lossy(&output.stdout),
-                String::from_utf8_lossy(&output.stderr)
-            );
-        }
-        Ok(())
+        create_declarations(node.addresses.operators, &self.options.declarations).await
     }
 
     /// Returns the callers' addresses of every node.
