admission: count shares of the whole capacity and refuse stale requests in time

Cause: golden sessions of an owner with 10 slots of 10 ms. In a flood of lookups at 10 times the capacity, orders with a share of 30 % got 282 of 1,000 a second and reports with 10 % got 100, because shares were taken of what idle reserves left; and requests that an overloaded class passed over were refused late.

Change: shares are of the whole limit, idle reserves included; what has waited for half its target in an overloaded class is refused.

Conclusion: urgent work waits for the next of a flood's slots to end, which is a whole service time when all have started together; a reserve for its class is the remedy today.

--- a/crates/winch-test-support/src/naive_scheduler.rs
+++ b/crates/winch-test-support/src/naive_scheduler.rs
@@ -21,12 +21,14 @@
     class: usize,
     caller: u64,
     deadline: Option<Duration>,
+    arrived: Duration,
 }
 
 /// What happened to a class's slots, in order.
 #[derive(Debug, Clone, Copy)]
 enum NaiveEvent {
-    Started(usize),
+    /// With the limit and the slots that were not kept for idle reserves.
+    Started(usize, u64, u64),
     Ended(usize, Duration),
 }
 
@@ -90,6 +92,7 @@
             class,
             caller,
             deadline,
+            arrived: now,
         });
         if may_wait || self.can_start(class) || self.count(class) <= self.bound(class) {
             return Vec::new();
@@ -108,6 +111,25 @@
         position.map(|position| self.take(position)).is_some()
     }
 
+    /// Refuses what has waited in an overloaded class for half its target.
+    pub fn give_up_stale(&mut self, now: Duration) -> Vec<NaiveDecision> {
+        let overloaded = self.overloaded.clone();
+        let mut stale = self.waiting.clone();
+        stale.retain(|entry| {
+            let target = self.classes[entry.class].target;
+            overloaded[entry.class] && now.saturating_sub(entry.arrived) >= target / 2
+        });
+        stale.sort_by_key(|entry| (entry.class, entry.ticket));
+        let tickets: Vec<u64> = stale.iter().map(|entry| entry.ticket).collect();
+        for ticket in &tickets {
+            self.withdraw(*ticket);
+        }
+        let refused = tickets.into_iter();
+        refused
+            .map(|ticket| (ticket, Some(ErrorKind::Overloaded)))
+            .collect()
+    }
+
     /// Takes the end of a request.
     pub fn finish(&mut self, class: usize, held: Duration) {
         self.events.push(NaiveEvent::Ended(class, held));
@@ -150,7 +172,14 @@
                 decisions.push((entry.ticket, Some(ErrorKind::DeadlineBeforeStart)));
                 continue;
             }
-            self.events.push(NaiveEvent::Started(class));
+            let idle: u64 = (0..self.classes.len())
+                .map(|class| {
+                    u64::from(self.classes[class].reserve).saturating_sub(self.running(class))
+                })
+                .sum();
+            let usable = self.limit.saturating_sub(idle).max(1);
+            self.events
+                .push(NaiveEvent::Started(class, self.limit, usable));
             decisions.push((entry.ticket, None));
         }
     }
@@ -197,8 +226,9 @@
         let (mut owed, mut running) = (0_u64, 0_u64);
         for event in &self.events {
             match *event {
-                NaiveEvent::Started(started) => {
-                    let earned = costs[started] * u64::from(self.classes[class].share);
+                NaiveEvent::Started(started, limit, usable) => {
+                    let share = u64::from(self.classes[class].share);
+                    let earned = costs[started] * limit / usable * share;
                     owed = (owed + earned).min(costs[class] * 200);
                     if started == class {
                         owed = owed.saturating_sub(costs[class] * 100);
--- a/src/admission/actor.rs
+++ b/src/admission/actor.rs
@@ -36,7 +36,9 @@
 /// How many messages wait for the actor; senders wait beyond that.
 const MAILBOX: usize = 4096;
 /// How often the actor looks after its queue.
-const HOUSEKEEPING: Duration = Duration::from_millis(50);
+const HOUSEKEEPING: Duration = Duration::from_millis(10);
+/// How often it looks for requests that nobody waits for.
+const ABANDONED_INTERVAL: Duration = Duration::from_millis(50);
 /// How often the rates are measured.
 const RATE_WINDOW: Duration = Duration::from_millis(250);
 /// A new verdict moves the failing part by one part in so many.
@@ -111,6 +113,7 @@
     published: Arc<PublishedLoad>,
     start: Instant,
     window_start: Duration,
+    abandoned_check: Duration,
     failing: u32,
 }
 
@@ -269,8 +272,12 @@
 
     async fn handle(&mut self, _message: Housekeep, _ctx: &mut Context<Self>) {
         let now = self.now();
-        self.scheduler
-            .withdraw_abandoned(oneshot::Sender::is_closed);
+        self.scheduler.give_up_stale(now, &mut self.decisions);
+        if now >= self.abandoned_check + ABANDONED_INTERVAL {
+            self.abandoned_check = now;
+            self.scheduler
+                .withdraw_abandoned(oneshot::Sender::is_closed);
+        }
         if now >= self.window_start + RATE_WINDOW {
             self.publish_rates(now);
         }
@@ -307,6 +314,7 @@
             published: Arc::clone(&published),
             start: Instant::now(),
             window_start: Duration::ZERO,
+            abandoned_check: Duration::ZERO,
             failing: 0,
         };
         tokio::spawn(xtra::run(mailbox, actor));
--- a/src/admission/class_queue.rs
+++ b/src/admission/class_queue.rs
@@ -35,6 +35,8 @@
     pub caller: CallerHash,
     /// When it must have started; none for work that may wait.
     pub deadline: Option<Duration>,
+    /// When it arrived.
+    pub arrived: Duration,
 }
 
 /// A caller's waiting requests, oldest first.
@@ -156,12 +158,15 @@
         removed.map(|(_, entry)| entry)
     }
 
-    /// Finds the requests whose payload meets a condition.
-    pub fn find(&self, condition: impl Fn(&T) -> bool) -> Vec<(CallerHash, TicketId)> {
+    /// Finds the requests that meet a condition.
+    pub fn find(
+        &self,
+        condition: impl Fn(&WaitingEntry<T>) -> bool,
+    ) -> Vec<(CallerHash, TicketId)> {
         self.callers
             .iter()
             .flat_map(|(caller, queue)| queue.entries.iter().map(move |entry| (*caller, entry)))
-            .filter(|(_, (_, entry))| condition(&entry.payload))
+            .filter(|(_, (_, entry))| condition(entry))
             .map(|(caller, (ticket, _))| (caller, *ticket))
             .collect()
     }
--- a/src/admission/scheduler.rs
+++ b/src/admission/scheduler.rs
@@ -156,7 +156,7 @@
             decisions.push(refuse(payload, request.class, refusal));
             return ticket;
         }
-        self.enqueue(ticket, request, payload);
+        self.enqueue(now, ticket, request, payload);
         if self.is_over_bound(request.class) {
             self.give_up_victim(request.class, decisions);
         }
@@ -173,13 +173,34 @@
     /// Takes back every waiting request whose payload nobody waits for.
     pub fn withdraw_abandoned(&mut self, is_abandoned: impl Fn(&T) -> bool) {
         for queue in &mut self.queues {
-            for (caller, ticket) in queue.find(&is_abandoned) {
+            for (caller, ticket) in queue.find(|entry| is_abandoned(&entry.payload)) {
                 self.tickets.remove(&ticket);
                 queue.remove(caller, ticket);
             }
         }
     }
 
+    /// Refuses what has waited in an overloaded class for half its target: newer
+    /// requests go first, so that it would hardly start.
+    pub fn give_up_stale(&mut self, now: Duration, decisions: &mut Vec<SlotDecision<T>>) {
+        for class in 0..self.classes.len() {
+            if !self.queues[class].is_newest_first() {
+                continue;
+            }
+            let patience = self.classes[class].declaration.target / TARGET_PARTS as u32;
+            let is_stale = |entry: &WaitingEntry<T>| now.saturating_sub(entry.arrived) >= patience;
+            let mut stale = self.queues[class].find(is_stale);
+            stale.sort_unstable_by_key(|(_, ticket)| *ticket);
+            let refusal = self.refusal(ErrorKind::Overloaded, class);
+            for (caller, ticket) in stale {
+                self.tickets.remove(&ticket);
+                if let Some(entry) = self.queues[class].remove(caller, ticket) {
+                    decisions.push(refuse(entry.payload, class, refusal));
+                }
+            }
+        }
+    }
+
     /// Takes the end of a request that ran for `held`.
     pub fn finish(&mut self, class: ClassIndex, held: Duration) {
         let state = &mut self.classes[class];
@@ -266,11 +287,12 @@
         Duration::from_micros(by_rank.min(by_share))
     }
 
-    fn enqueue(&mut self, ticket: TicketId, request: SlotRequest, payload: T) {
+    fn enqueue(&mut self, now: Duration, ticket: TicketId, request: SlotRequest, payload: T) {
         let entry = WaitingEntry {
             payload,
             caller: request.caller,
             deadline: request.deadline,
+            arrived: now,
         };
         self.queues[request.class].push(ticket, entry);
         self.tickets.insert(ticket, (request.class, request.caller));
@@ -355,8 +377,12 @@
 
     fn account_start(&mut self, class: ClassIndex) {
         let cost = self.classes[class].cost;
+        let unused: u32 = self.classes.iter().map(ClassState::unused_reserve).sum();
+        let usable = self.limit.saturating_sub(unused).max(1);
+        // Shares are of the whole capacity, idle reserves included.
+        let earned = cost.saturating_mul(u64::from(self.limit)) / u64::from(usable);
         for state in &mut self.classes {
-            state.earn(cost);
+            state.earn(earned);
         }
         self.classes[class].spend(cost);
         self.classes[class].running += 1;
--- a/tests/testsuite/admission_scheduler.rs
+++ b/tests/testsuite/admission_scheduler.rs
@@ -106,7 +106,12 @@
                     scheduler.set_limit(limit);
                     naive.limit = u64::from(limit);
                 }
-                Step::Advance(millis) => now += Duration::from_millis(millis),
+                Step::Advance(millis) => {
+                    now += Duration::from_millis(millis);
+                    let mut ours = Vec::new();
+                    scheduler.give_up_stale(now, &mut ours);
+                    prop_assert_eq!(plain(ours), naive.give_up_stale(now));
+                }
                 Step::Finish(..) => {}
             }
             let ours = start(&mut scheduler, now);
@@ -271,3 +276,22 @@
     assert_eq!(refused[0], (1, Some(ErrorKind::Overloaded)));
     assert_eq!(started, vec![(11, None)]);
 }
+
+#[test]
+fn what_an_overloaded_class_will_not_start_is_refused_in_time() {
+    let mut scheduler = PriorityScheduler::new(&[class("lookups", 0, (30, 500), 100, 0)]);
+    scheduler.set_limit(1);
+    let deadline = Some(NOW + Duration::from_millis(500));
+    for ticket in 0..12 {
+        offer(&mut scheduler, ticket, (0, ticket), deadline, NOW);
+        start(&mut scheduler, NOW);
+    }
+    let waiting = scheduler.waiting(0);
+
+    let mut early = Vec::new();
+    scheduler.give_up_stale(NOW + Duration::from_millis(14), &mut early);
+    let mut late = Vec::new();
+    scheduler.give_up_stale(NOW + Duration::from_millis(15), &mut late);
+
+    assert_eq!((early.len(), late.len()), (0, waiting));
+}
--- /dev/null
+++ b/tests/testsuite/admission_sessions.rs
@@ -0,0 +1,161 @@
+//! Golden sessions of an owner in a flood, while it recovers, and in a drain.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use buckthornwinch::delivery::message::OrderRequest;
+use buckthornwinch::delivery::message::OrderResult;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use winch_test_support::owner::FakeReply;
+use winch_test_support::owner::OwnerFixture;
+use winch_test_support::owner::order;
+use winch_test_support::owner::owner_fixture;
+
+const SERVICE_TIME: Duration = Duration::from_millis(10);
+const PHASE: Duration = Duration::from_secs(1);
+
+/// What callers of one class saw in a phase.
+#[derive(Default)]
+struct ClassTally {
+    results: BTreeMap<&'static str, u32>,
+    /// Times to an answer, and times to a refusal.
+    times: [Vec<Duration>; 2],
+}
+
+impl ClassTally {
+    fn add(&mut self, result: &OrderResult, time: Duration) {
+        let name = match result {
+            Ok(_) => "answered",
+            Err(failed) => failed.kind.answer().slug,
+        };
+        *self.results.entry(name).or_default() += 1;
+        self.times[usize::from(result.is_err())].push(time);
+    }
+}
+
+fn worst_of_99(times: &mut [Duration]) -> Duration {
+    times.sort();
+    let last = (times.len() * 99).div_ceil(100);
+    last.checked_sub(1)
+        .map_or(Duration::ZERO, |last| times[last])
+}
+
+/// Sends requests of some classes, each at an even pace, for one phase.
+async fn phase(fixture: &OwnerFixture, rates: &[(&'static str, u32)]) -> String {
+    let mut sent: Vec<(&str, JoinHandle<(OrderResult, Duration)>)> = Vec::new();
+    let steps = PHASE.as_millis() as u32;
+    for step in 0..steps {
+        for (class, rate) in rates {
+            let due = rate * (step + 1) / steps - rate * step / steps;
+            for _ in 0..due {
+                sent.push((class, send(fixture, class, sent.len())));
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let mut tallies: BTreeMap<&str, ClassTally> = BTreeMap::new();
+    for (class, task) in sent {
+        let (result, time) = task.await.unwrap();
+        tallies.entry(class).or_default().add(&result, time);
+    }
+    let mut text = String::new();
+    for (class, rate) in rates {
+        let tally = tallies.entry(class).or_default();
+        let [answered, refused] = &mut tally.times;
+        let (answered, refused) = (worst_of_99(answered), worst_of_99(refused));
+        writeln!(
+            text,
+            "{class}: {rate}/s, {:?}, p99 to an answer {answered:?}, to a refusal {refused:?}",
+            tally.results
+        )
+        .unwrap();
+    }
+    text
+}
+
+fn send(fixture: &OwnerFixture, class: &str, number: usize) -> JoinHandle<(OrderResult, Duration)> {
+    let request = OrderRequest {
+        remaining: None,
+        caller: format!("caller-{}", number % 50).into(),
+        ..order(class, "/")
+    };
+    let handling = fixture.spawn(request);
+    tokio::spawn(async move {
+        let sent = Instant::now();
+        let result = handling.await.unwrap();
+        (result, sent.elapsed())
+    })
+}
+
+/// The owner has 10 slots of 10 ms: it bears 1,000 requests a second.
+#[tokio::test(start_paused = true)]
+async fn floods_of_low_and_high_classes_and_the_recovery() {
+    let fixture = owner_fixture(10, FakeReply::Answer(SERVICE_TIME)).await;
+    let calm = [
+        ("checks", 20),
+        ("lookups", 400),
+        ("orders", 200),
+        ("reports", 100),
+    ];
+    let low = [
+        ("checks", 20),
+        ("lookups", 400),
+        ("orders", 200),
+        ("reports", 10_000),
+    ];
+    let high = [
+        ("checks", 20),
+        ("lookups", 10_000),
+        ("orders", 400),
+        ("reports", 200),
+    ];
+
+    let mut session = String::new();
+    for (name, rates) in [
+        ("calm", calm),
+        ("flood of reports", low),
+        ("calm again", calm),
+        ("flood of lookups", high),
+        ("recovered", calm),
+    ] {
+        writeln!(session, "{name}").unwrap();
+        session.push_str(&phase(&fixture, &rates).await);
+    }
+
+    insta::assert_snapshot!(session);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_drain_under_load() {
+    let fixture = owner_fixture(10, FakeReply::Answer(SERVICE_TIME)).await;
+    let rates = [("lookups", 400), ("orders", 200), ("reports", 500)];
+    let mut session = String::new();
+
+    writeln!(session, "before").unwrap();
+    session.push_str(&phase(&fixture, &rates).await);
+    let waiting: Vec<_> = (0..15)
+        .map(|number| send(&fixture, "reports", number))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    fixture.owner.drain();
+    writeln!(session, "draining").unwrap();
+    session.push_str(&phase(&fixture, &rates).await);
+    fixture.owner.idle().await;
+    let mut admitted = ClassTally::default();
+    for task in waiting {
+        let (result, time) = task.await.unwrap();
+        admitted.add(&result, time);
+    }
+    writeln!(session, "admitted before: {:?}", admitted.results).unwrap();
+    let load = fixture.owner.load();
+    writeln!(
+        session,
+        "left: {} running, {} waiting",
+        load.running, load.waiting
+    )
+    .unwrap();
+
+    insta::assert_snapshot!(session);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod admission_limit;
 mod admission_rates;
 mod admission_scheduler;
+mod admission_sessions;
 mod bench_checks;
 mod configuration;
 mod declarations;
@@ -24,4 +25,5 @@
 mod snapshot;
 mod standins;
 mod telemetry;
+mod upstream_http;
 mod winchctl;
