node: take the folded state from other processes while the log is down

Cause: a process that started during an outage knew no configuration and no owner until the log returned.

The highest offset wins.

Conclusion: the configuration in force reaches processes that cannot read the log, and never goes back in offset.

--- a/src/log/follower.rs
+++ b/src/log/follower.rs
@@ -121,11 +121,19 @@
         nudge: Arc::clone(&nudge),
     };
     let address = xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX_CAPACITY));
-    let reader = LogReader::new(log, address.downgrade(), Arc::clone(&nudge), settings);
+    let (reachable_sender, reachable) = watch::channel(true);
+    let reader = LogReader::new(
+        log,
+        address.downgrade(),
+        Arc::clone(&nudge),
+        reachable_sender,
+        settings,
+    );
     tokio::spawn(reader.run(from));
     FollowerHandle {
         address,
         states,
+        reachable,
         nudge,
     }
 }
@@ -135,10 +143,16 @@
 pub struct FollowerHandle {
     address: Address<LogFollower>,
     states: watch::Receiver<Arc<FoldedState>>,
+    reachable: watch::Receiver<bool>,
     nudge: Arc<Notify>,
 }
 
 impl FollowerHandle {
+    /// Tells whether the latest read of the log was answered.
+    pub fn reachable(&self) -> watch::Receiver<bool> {
+        self.reachable.clone()
+    }
+
     /// Subscribes to the published states.
     pub fn states(&self) -> watch::Receiver<Arc<FoldedState>> {
         self.states.clone()
--- a/src/log/reader.rs
+++ b/src/log/reader.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::timeout;
 use xtra::WeakAddress;
@@ -25,6 +26,7 @@
     log: L,
     follower: WeakAddress<LogFollower>,
     nudge: Arc<Notify>,
+    reachable: watch::Sender<bool>,
     settings: FollowerSettings,
     backoff: RetryBackoff,
 }
@@ -34,6 +36,7 @@
         log: L,
         follower: WeakAddress<LogFollower>,
         nudge: Arc<Notify>,
+        reachable: watch::Sender<bool>,
         settings: FollowerSettings,
     ) -> Self {
         let backoff = RetryBackoff::new(settings.retry_base, settings.retry_limit);
@@ -41,6 +44,7 @@
             log,
             follower,
             nudge,
+            reachable,
             settings,
             backoff,
         }
@@ -95,6 +99,10 @@
 
     /// Logs when the log goes down or comes back.
     fn note_result(&self, next: Offset, result: &Result<LogPage, LogError>) {
+        self.reachable.send_if_modified(|reachable| {
+            let was_reachable = std::mem::replace(reachable, result.is_ok());
+            was_reachable != result.is_ok()
+        });
         let failures = self.backoff.failures();
         match result {
             Ok(_) if failures > 0 => {
--- a/src/node/handler.rs
+++ b/src/node/handler.rs
@@ -2,18 +2,22 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use tokio_util::sync::CancellationToken;
 
 use crate::admission::load::OwnerLoad;
 use crate::base::error::ErrorKind;
+use crate::base::ids::Offset;
 use crate::delivery::message::OrderFailure;
 use crate::delivery::message::OrderRequest;
 use crate::delivery::message::OrderResult;
 use crate::delivery::owner::OwnerService;
 use crate::handover::activity::ChainActivity;
 use crate::hotkeys::report::KeySampler;
+use crate::log::follower::FollowerHandle;
 use crate::ownership::gate::OwnershipGate;
 use crate::state::record::ChainSubject;
+use crate::state::snapshot::encode_state;
 use crate::transport::server::OrderHandler;
 
 /// Runs the requests that this process owns. Cloning shares it.
@@ -23,6 +27,7 @@
     owner: Arc<OwnerService<G>>,
     activity: ChainActivity,
     sampler: KeySampler,
+    follower: FollowerHandle,
 }
 
 impl<G: OwnershipGate> Clone for NodeHandler<G> {
@@ -32,6 +37,7 @@
             owner: Arc::clone(&self.owner),
             activity: self.activity.clone(),
             sampler: self.sampler.clone(),
+            follower: self.follower.clone(),
         }
     }
 }
@@ -43,12 +49,14 @@
         owner: Arc<OwnerService<G>>,
         activity: ChainActivity,
         sampler: KeySampler,
+        follower: FollowerHandle,
     ) -> Self {
         Self {
             gate,
             owner,
             activity,
             sampler,
+            follower,
         }
     }
 }
@@ -80,4 +88,12 @@
     fn load(&self) -> OwnerLoad {
         self.owner.load()
     }
+
+    fn newer_state(&self, above: Offset) -> Option<Bytes> {
+        let state = self.follower.state();
+        if state.next <= above {
+            return None;
+        }
+        encode_state(&state).ok()
+    }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,10 +6,12 @@
 //!
 //! [`datagrams`] hands each datagram to its part, [`handler`] counts what runs
 //! for each chain, [`inputs`] tells the parts what changed, [`membership`]
-//! joins and leaves, [`backend`] answers operators, and [`local`] serves the
+//! joins and leaves, [`catch_up`] asks others for the state while the log is
+//! down, [`backend`] answers operators, and [`local`] serves the
 //! upstream and the VM's own tools.
 
 pub mod backend;
+pub mod catch_up;
 pub mod datagrams;
 pub mod handler;
 pub mod identity;
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -16,6 +16,7 @@
 
 use super::backend::NodeBackend;
 use super::backend::follow_offsets;
+use super::catch_up::PeerCatchUp;
 use super::datagrams::DatagramReceiver;
 use super::datagrams::NodeSender;
 use super::handler::NodeHandler;
@@ -241,7 +242,13 @@
         ));
         let activity = ChainActivity::default();
         let sampler = KeySampler::default();
-        let handler = NodeHandler::new(gate, Arc::clone(&owner), activity.clone(), sampler.clone());
+        let handler = NodeHandler::new(
+            gate,
+            Arc::clone(&owner),
+            activity.clone(),
+            sampler.clone(),
+            follower.clone(),
+        );
         tasks.spawn(until(
             stop.clone(),
             report_load(own, sampler, sender.clone()),
@@ -305,6 +312,12 @@
             .metrics(metrics.clone())
             .build();
         tasks.spawn(serve_operators(listeners.operators, backend, stop.clone()));
+        let catch_up = PeerCatchUp::new(
+            follower.clone(),
+            settings.addresses.peers,
+            settings.peers.clone(),
+        );
+        tasks.spawn(until(stop.clone(), catch_up.run(TimerService)));
         let keeper = SnapshotKeeper::new(
             log,
             follower.clone(),
--- a/src/transport/frame.rs
+++ b/src/transport/frame.rs
@@ -10,6 +10,7 @@
 use crate::admission::load::OwnerLoad;
 use crate::base::collections::FastMap;
 use crate::base::ids::Incarnation;
+use crate::base::ids::Offset;
 use crate::base::ids::RequestId;
 use crate::delivery::message::OrderRequest;
 use crate::delivery::message::OrderResult;
@@ -70,6 +71,16 @@
     Ping,
     /// The sign of life.
     Pong,
+    /// Asks for a folded state, in place of a greeting.
+    AskState {
+        /// The state is wanted only if it holds entries from this offset on.
+        above: Offset,
+    },
+    /// The answer to [`PeerMessage::AskState`].
+    State {
+        /// The encoded state; none if it is not newer than asked for.
+        encoded: Option<Bytes>,
+    },
 }
 
 /// Why bytes were refused.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -8,6 +8,9 @@
 //! outstanding; the owner ([`server`]) knows every number it has seen from an
 //! incarnation, so asking again never runs a request twice.
 //!
+//! [`state`] asks another process for its folded state, for one that cannot
+//! read the log.
+//!
 //! [`datagram`] carries the small messages of leases and planning over UDP.
 //! A lost datagram is never repeated by this layer.
 
@@ -17,3 +20,4 @@
 pub mod inbound;
 pub mod link;
 pub mod server;
+pub mod state;
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -25,6 +25,7 @@
 use crate::admission::load::OwnerLoad;
 use crate::base::collections::FastMap;
 use crate::base::ids::Incarnation;
+use crate::base::ids::Offset;
 use crate::base::ids::RequestId;
 use crate::delivery::message::OrderRequest;
 use crate::delivery::message::OrderResult;
@@ -47,6 +48,12 @@
 
     /// Returns the load that answers carry.
     fn load(&self) -> OwnerLoad;
+
+    /// Returns the encoded folded state if it is newer than `above`.
+    fn newer_state(&self, above: Offset) -> Option<Bytes> {
+        let _ = above;
+        None
+    }
 }
 
 /// What is kept for one entry over its connections.
@@ -146,8 +153,18 @@
         sender: &ConnectionSender,
     ) -> io::Result<Option<Incarnation>> {
         let hello = timeout(HELLO_TIMEOUT, reader.next()).await??;
-        let Some(PeerMessage::Hello { version, from, to }) = hello else {
-            return Ok(None);
+        let (version, from, to) = match hello {
+            Some(PeerMessage::Hello { version, from, to }) => (version, from, to),
+            Some(PeerMessage::AskState { above }) => {
+                let encoded = self.handler.newer_state(above);
+                drop(
+                    sender
+                        .send(encode_message(&PeerMessage::State { encoded }))
+                        .await,
+                );
+                return Ok(None);
+            }
+            _ => return Ok(None),
         };
         let welcome = PeerMessage::Welcome {
             incarnation: self.incarnation,
@@ -184,6 +201,8 @@
             PeerMessage::Hello { .. }
             | PeerMessage::Welcome { .. }
             | PeerMessage::Answer { .. }
+            | PeerMessage::AskState { .. }
+            | PeerMessage::State { .. }
             | PeerMessage::Pong => {}
         }
     }
--- /dev/null
+++ b/src/transport/state.rs
@@ -0,0 +1,43 @@
+//! Asks another process for its folded state.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::connection;
+use super::frame::PeerMessage;
+use super::frame::encode_message;
+use crate::base::ids::Offset;
+use crate::state::folded::FoldedState;
+use crate::state::snapshot::decode_state;
+
+/// Asks the process at `address` for its state, if that holds entries from
+/// `above` on. Takes `limit` at most.
+pub async fn fetch_state(
+    address: SocketAddr,
+    above: Offset,
+    limit: Duration,
+) -> io::Result<Option<FoldedState>> {
+    timeout(limit, ask_state(address, above)).await?
+}
+
+async fn ask_state(address: SocketAddr, above: Offset) -> io::Result<Option<FoldedState>> {
+    let stream = TcpStream::connect(address).await?;
+    let (mut reader, sender) = connection::open(stream)?;
+    let question = encode_message(&PeerMessage::AskState { above });
+    // A closed connection shows in the read below.
+    drop(sender.send(question).await);
+    let Some(PeerMessage::State { encoded }) = reader.next().await? else {
+        return Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            "the peer did not answer with a state",
+        ));
+    };
+    encoded
+        .map(|bytes| decode_state(&bytes))
+        .transpose()
+        .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, format!("{error:?}")))
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod ownership_gate;
 mod ownership_lease;
 mod ownership_succession;
+mod peer_state;
 mod settings;
 mod snapshot;
 mod standins;
--- /dev/null
+++ b/tests/testsuite/peer_state.rs
@@ -0,0 +1,141 @@
+//! A process that cannot read the log takes the folded state from others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use buckthornwinch::admission::load::OwnerLoad;
+use buckthornwinch::base::error::ErrorKind;
+use buckthornwinch::base::ids::Offset;
+use buckthornwinch::base::timer::TimerService;
+use buckthornwinch::delivery::message::OrderFailure;
+use buckthornwinch::delivery::message::OrderRequest;
+use buckthornwinch::delivery::message::OrderResult;
+use buckthornwinch::log::follower::FollowerHandle;
+use buckthornwinch::log::follower::FollowerSettings;
+use buckthornwinch::log::follower::start_follower;
+use buckthornwinch::node::catch_up::PeerCatchUp;
+use buckthornwinch::state::codec::encode_batch;
+use buckthornwinch::state::folded::FoldedState;
+use buckthornwinch::state::snapshot::encode_state;
+use buckthornwinch::transport::server::OrderHandler;
+use buckthornwinch::transport::server::PeerServer;
+use buckthornwinch::transport::state::fetch_state;
+use bytes::Bytes;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use winch_test_support::fake_log::FakeFaults;
+use winch_test_support::fake_log::FakeLog;
+use winch_test_support::records::address;
+use winch_test_support::records::batch;
+use winch_test_support::records::join;
+use winch_test_support::records::random_history;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+#[derive(Clone)]
+struct StateHandler(Arc<FoldedState>);
+
+impl OrderHandler for StateHandler {
+    async fn handle(&self, _order: OrderRequest, _cancelled: CancellationToken) -> OrderResult {
+        Err(OrderFailure::new(ErrorKind::NotOwner, "no orders here"))
+    }
+
+    fn load(&self) -> OwnerLoad {
+        OwnerLoad::default()
+    }
+
+    fn newer_state(&self, above: Offset) -> Option<Bytes> {
+        (self.0.next > above).then(|| encode_state(&self.0).unwrap())
+    }
+}
+
+/// A state of the given number of batches of one history.
+fn state_at(length: usize) -> FoldedState {
+    let mut state = FoldedState::default();
+    for batch in random_history(1, 200).iter().take(length) {
+        state.apply(state.next, batch);
+    }
+    state
+}
+
+async fn serve(state: FoldedState) -> SocketAddr {
+    let listener = TcpListener::bind(address(0)).await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    let server = PeerServer::new(1, StateHandler(Arc::new(state)));
+    tokio::spawn(server.serve(listener, CancellationToken::new()));
+    peer
+}
+
+fn follow(log: &FakeLog) -> FollowerHandle {
+    let settings = FollowerSettings::builder()
+        .poll_interval(Duration::from_millis(5))
+        .retry_limit(Duration::from_millis(20))
+        .build();
+    start_follower(log.clone(), FoldedState::default(), settings)
+}
+
+fn log_that_is_down() -> FakeLog {
+    let log = FakeLog::new(1);
+    log.set_faults(FakeFaults {
+        is_down: true,
+        ..FakeFaults::default()
+    });
+    log
+}
+
+#[tokio::test]
+async fn state_of_the_peer_at_the_highest_offset_wins() {
+    let older = serve(state_at(50)).await;
+    let newer = serve(state_at(150)).await;
+    let nowhere = address(1);
+    let follower = follow(&log_that_is_down());
+    let own = address(2);
+
+    let catch_up = PeerCatchUp::new(follower.clone(), own, vec![older, newer, nowhere]);
+    catch_up.ask().await;
+
+    assert_eq!(*follower.state(), state_at(150));
+}
+
+#[tokio::test]
+async fn only_a_newer_state_is_sent() {
+    let state = state_at(50);
+    let peer = serve(state.clone()).await;
+
+    let same = fetch_state(peer, state.next, LIMIT).await.unwrap();
+    let newer = fetch_state(peer, state.next - 1, LIMIT).await.unwrap();
+
+    assert_eq!(same, None);
+    assert_eq!(newer, Some(state));
+}
+
+#[tokio::test]
+async fn process_that_started_in_an_outage_goes_on_from_the_log_when_it_returns() {
+    let log = log_that_is_down();
+    let history = random_history(1, 200);
+    for batch in &history[..150] {
+        log.write(encode_batch(batch).unwrap());
+    }
+    let peer = serve(state_at(120)).await;
+    let follower = follow(&log);
+    let catch_up = PeerCatchUp::new(follower.clone(), address(2), vec![peer]);
+    let asking = tokio::spawn(catch_up.run(TimerService));
+
+    let mut states = follower.states();
+    let taken = states.wait_for(|state| state.next >= 120);
+    let taken = tokio::time::timeout(LIMIT, taken).await.unwrap().unwrap();
+    let during = Arc::clone(&taken);
+    drop(taken);
+    log.set_faults(FakeFaults::default());
+    log.write(encode_batch(&batch(9_999, 1, vec![join(77, 9_999)])).unwrap());
+    let returned = states.wait_for(|state| state.members.contains_key(&9_999));
+    let after = tokio::time::timeout(LIMIT, returned)
+        .await
+        .unwrap()
+        .unwrap();
+
+    assert_eq!(*during, state_at(120));
+    assert_eq!(**after, log.replay(|_| {}));
+    asking.abort();
+}
