--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,6 +13,7 @@
 pub mod backend;
 pub mod catch_up;
 pub mod datagrams;
+pub mod figures;
 pub mod handler;
 pub mod identity;
 pub mod inputs;
