--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod admission_scheduler;
 mod bench_checks;
+mod codec;
 mod configuration;
 mod declarations;
 mod delivery;
@@ -10,6 +11,7 @@
 mod figures;
 mod fold;
 mod log_client;
+mod log_sessions;
 mod operator_pages;
 mod outcome_table;
 mod outcomes;
@@ -18,6 +20,7 @@
 mod ownership_gate;
 mod ownership_lease;
 mod ownership_succession;
+mod peer_state;
 mod settings;
 mod snapshot;
 mod standins;
