ownership: explore leases, takeovers, moves and witness changes under faults

Cause: at most one owner at any moment is a promise about every order of losses, delays, pauses and restarts, which single tests do not cover.

After every step of a machine: one owner at most for each chain, epochs never go down, an accepted assignment stays until resigned or ended.

The walk also showed a cascade of processes that end because their witnesses are gone, in a fleet of six whose witnesses restart at will.

--- a/crates/winch-test-support/src/fleet.rs
+++ b/crates/winch-test-support/src/fleet.rs
@@ -69,12 +69,17 @@
     ///
     /// Panics if the fold does not accept the whole batch.
     pub fn append(&mut self, author: Incarnation, records: Vec<LogRecord>) -> Arc<FoldedState> {
+        let effects = self.try_append(author, records);
+        assert!(effects.iter().all(FoldEffect::is_accepted), "{effects:?}");
+        self.shared()
+    }
+
+    /// Appends a batch, whatever the fold makes of it.
+    pub fn try_append(&mut self, author: Incarnation, records: Vec<LogRecord>) -> Vec<FoldEffect> {
         let sequence = self.sequences.entry(author).or_default();
         *sequence += 1;
         let batch = batch(author, *sequence, records);
-        let effects = self.state.apply(self.state.next, &batch);
-        assert!(effects.iter().all(FoldEffect::is_accepted), "{effects:?}");
-        self.shared()
+        self.state.apply(self.state.next, &batch)
     }
 
     /// Names the next witness set of a node.
--- a/crates/winch-test-support/src/lib.rs
+++ b/crates/winch-test-support/src/lib.rs
@@ -1,8 +1,8 @@
 //! Fixture builders shared by the test programs.
 
-pub mod fleet;
 pub mod classes;
 pub mod fleet;
 pub mod naive_scheduler;
 pub mod owner;
+pub mod ownership_world;
 pub mod records;
--- /dev/null
+++ b/crates/winch-test-support/src/ownership_world.rs
@@ -0,0 +1,375 @@
+//! A fleet of ownership machines with a log and a network, in true time.
+//!
+//! The world runs the machines and the fold that `winchd` runs. A driver
+//! decides what happens to each message and process; the world checks after
+//! every step of a machine that no chain has two owners.
+
+use std::collections::BTreeMap;
+use std::hash::BuildHasher;
+use std::hash::BuildHasherDefault;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::sync::Arc;
+
+use buckthornwinch::base::ids::Epoch;
+use buckthornwinch::base::ids::Incarnation;
+use buckthornwinch::ownership::decision::OwnershipDecision;
+use buckthornwinch::ownership::machine::MessageTarget;
+use buckthornwinch::ownership::machine::OwnershipMachine;
+use buckthornwinch::ownership::machine::OwnershipOutput;
+use buckthornwinch::ownership::message::OwnershipMessage;
+use buckthornwinch::ownership::rules::LeaseRules;
+use buckthornwinch::ownership::succession::TenureCause;
+use buckthornwinch::ownership::succession::TenureChange;
+use buckthornwinch::ownership::timing::ClockReading;
+use buckthornwinch::ownership::timing::LeaseTiming;
+use buckthornwinch::state::folded::FoldedState;
+use buckthornwinch::state::record::ChainKey;
+use buckthornwinch::state::record::EndProof;
+use buckthornwinch::state::record::LapseCertificate;
+use buckthornwinch::state::record::LogRecord;
+
+use crate::fleet::FleetLog;
+use crate::fleet::at;
+use crate::records::member_info;
+
+/// Clock speed of a process without drift, in thousandths.
+pub const TRUE_RATE: u64 = 1000;
+
+/// A message on its way.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct MessageEnvelope {
+    /// Who sent it.
+    pub from: Incarnation,
+    /// Whom it goes to.
+    pub to: Incarnation,
+    /// The message.
+    pub message: OwnershipMessage,
+}
+
+/// A process of the world.
+#[derive(Debug, Clone)]
+pub struct ProcessState<R> {
+    /// The machine under test.
+    pub machine: OwnershipMachine<R>,
+    /// Speed of its clocks, in thousandths of true time.
+    pub rate: u64,
+}
+
+/// What the world has seen.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WorldCounts {
+    /// Takeovers on a certificate.
+    pub certificates: u64,
+    /// Takeovers on a resignation.
+    pub resignations: u64,
+    /// Leases that came to rest on a second or later witness set.
+    pub set_changes: u64,
+    /// Processes that ended for good.
+    pub ends: u64,
+}
+
+impl WorldCounts {
+    /// Adds another world's counts.
+    pub fn add(&mut self, other: Self) {
+        self.certificates += other.certificates;
+        self.resignations += other.resignations;
+        self.set_changes += other.set_changes;
+        self.ends += other.ends;
+    }
+}
+
+/// A fleet of ownership machines with a log.
+#[derive(Debug, Clone)]
+pub struct OwnershipWorld<R> {
+    /// True time, in milliseconds.
+    pub now: u64,
+    /// The processes that run, by incarnation.
+    pub processes: BTreeMap<Incarnation, ProcessState<R>>,
+    /// The log.
+    pub log: Arc<FleetLog>,
+    /// The folded states by offset, as every process folds them.
+    pub states: Vec<Arc<FoldedState>>,
+    /// Messages that were sent and wait for the driver.
+    pub outbox: Vec<MessageEnvelope>,
+    /// Certificates that a process wants to append.
+    pub appends: Vec<(Incarnation, LapseCertificate)>,
+    /// What was decided, with true time.
+    pub decisions: Vec<(u64, Incarnation, OwnershipDecision)>,
+    /// What was seen.
+    pub counts: WorldCounts,
+    /// The first violation.
+    pub violation: Option<String>,
+    log_digest: u64,
+    timing: LeaseTiming,
+    served: BTreeMap<ChainKey, Epoch>,
+    assigned: BTreeMap<(ChainKey, Epoch), Incarnation>,
+}
+
+impl<R: LeaseRules> OwnershipWorld<R> {
+    /// Creates a world in which the named members run and have read the log.
+    pub fn new(log: FleetLog, members: &[Incarnation], timing: LeaseTiming) -> Self {
+        let state = log.shared();
+        let mut world = Self {
+            now: 0,
+            processes: BTreeMap::new(),
+            states: vec![Arc::clone(&state)],
+            log: Arc::new(log),
+            log_digest: 0,
+            outbox: Vec::new(),
+            appends: Vec::new(),
+            decisions: Vec::new(),
+            counts: WorldCounts::default(),
+            violation: None,
+            timing,
+            served: BTreeMap::new(),
+            assigned: BTreeMap::new(),
+        };
+        world.note_assigned();
+        for member in members {
+            world.start(*member);
+        }
+        world
+    }
+
+    /// Starts a process that has read the whole log.
+    pub fn start(&mut self, member: Incarnation) {
+        let machine = OwnershipMachine::new(member, self.timing);
+        let process = ProcessState {
+            machine,
+            rate: TRUE_RATE,
+        };
+        self.processes.insert(member, process);
+        self.fold(member);
+    }
+
+    /// Starts a new process of a node: the former has ended.
+    pub fn restart(&mut self, node: u16, former: Incarnation, next: Incarnation) {
+        self.processes.remove(&former);
+        let join = LogRecord::Join(Box::new(member_info(node, next)));
+        self.append(next, vec![join]);
+        self.start(next);
+    }
+
+    /// Appends records and remembers the state.
+    pub fn append(&mut self, author: Incarnation, records: Vec<LogRecord>) {
+        self.change_log(|log| {
+            log.try_append(author, records);
+        });
+    }
+
+    /// Appends to the log in any way.
+    pub fn change_log(&mut self, change: impl FnOnce(&mut FleetLog)) {
+        change(Arc::make_mut(&mut self.log));
+        self.states.push(self.log.shared());
+        let content = format!("{:?}", self.log.state);
+        let parts = (self.log_digest, content);
+        self.log_digest = BuildHasherDefault::<DefaultHasher>::default().hash_one(parts);
+        self.note_assigned();
+    }
+
+    /// Appends the end that a certificate proves.
+    pub fn append_end(&mut self, author: Incarnation, certificate: LapseCertificate) {
+        let member = certificate.subject;
+        let proof = EndProof::Certificate(certificate);
+        self.append(author, vec![LogRecord::Ended { member, proof }]);
+    }
+
+    /// Lets a process read the log to its end.
+    pub fn fold(&mut self, member: Incarnation) {
+        let newest = self.log.state.next;
+        let process = self.processes.get(&member);
+        if process.is_some_and(|process| process.machine.state().next == newest) {
+            return;
+        }
+        let state = Arc::clone(&self.states[self.states.len() - 1]);
+        self.step(member, |machine, now| machine.follow(state, now));
+    }
+
+    /// Lets a process read one more entry of the log.
+    pub fn fold_one(&mut self, member: Incarnation) {
+        let Some(process) = self.processes.get(&member) else {
+            return;
+        };
+        let known = process.machine.state().next;
+        let next = self.states.iter().find(|state| state.next > known);
+        if let Some(state) = next.cloned() {
+            self.step(member, |machine, now| machine.follow(state, now));
+        }
+    }
+
+    /// Lets a process tick.
+    pub fn tick(&mut self, member: Incarnation) {
+        self.step(member, OwnershipMachine::tick);
+    }
+
+    /// Delivers a message.
+    pub fn deliver(&mut self, envelope: MessageEnvelope) {
+        self.step(envelope.to, |machine, now| {
+            machine.deliver(envelope.message, now)
+        });
+    }
+
+    /// Lets a process resign a chain's position that it may serve, if there is
+    /// somebody behind it, and append the record if it can.
+    pub fn resign(&mut self, member: Incarnation, chain: &ChainKey, can_append: bool) {
+        let Some(process) = self.processes.get(&member) else {
+            return;
+        };
+        let now = self.clock(process);
+        let Some(epoch) = process.machine.may_serve(chain, now) else {
+            return;
+        };
+        let has_successor = process.machine.state().chains[chain].tail() > epoch + 1;
+        if !has_successor {
+            return;
+        }
+        let positions = vec![(chain.clone(), epoch)];
+        let resigned = positions.clone();
+        self.step(member, |machine, now| machine.resign(resigned, now));
+        if can_append {
+            self.append(member, vec![LogRecord::Resign { positions }]);
+        }
+    }
+
+    /// Returns who may serve a chain now, with the epoch.
+    pub fn owners(&self, chain: &ChainKey) -> Vec<(Incarnation, Epoch)> {
+        let processes = self.processes.iter();
+        processes
+            .filter_map(|(member, process)| {
+                let now = self.clock(process);
+                let epoch = process.machine.may_serve(chain, now)?;
+                Some((*member, epoch))
+            })
+            .collect()
+    }
+
+    fn clock(&self, process: &ProcessState<R>) -> ClockReading {
+        at(self.now * process.rate / TRUE_RATE)
+    }
+
+    fn step(
+        &mut self,
+        member: Incarnation,
+        run: impl FnOnce(&mut OwnershipMachine<R>, ClockReading) -> OwnershipOutput,
+    ) {
+        let Some(process) = self.processes.get(&member) else {
+            return;
+        };
+        let now = self.clock(process);
+        let Some(process) = self.processes.get_mut(&member) else {
+            return;
+        };
+        let before = process.machine.active_version();
+        let output = run(&mut process.machine, now);
+        let after = process.machine.active_version();
+        if before > 0 && after > before {
+            self.counts.set_changes += 1;
+        }
+        self.take_output(member, output);
+        self.check_owners();
+    }
+
+    fn take_output(&mut self, from: Incarnation, output: OwnershipOutput) {
+        for (target, message) in output.messages {
+            let everyone = self.processes.keys().copied();
+            let targets: Vec<Incarnation> = match target {
+                MessageTarget::Member(to) => vec![to],
+                MessageTarget::Everyone => everyone.filter(|to| *to != from).collect(),
+            };
+            for to in targets {
+                let message = message.clone();
+                self.outbox.push(MessageEnvelope { from, to, message });
+            }
+        }
+        for certificate in output.appends {
+            self.appends.push((from, certificate));
+        }
+        for decision in output.decisions {
+            self.count(&decision);
+            self.decisions.push((self.now, from, decision));
+        }
+    }
+
+    fn count(&mut self, decision: &OwnershipDecision) {
+        match decision {
+            OwnershipDecision::Tenure(TenureChange::Began(_, tenure)) => match tenure.cause {
+                TenureCause::Certificate => self.counts.certificates += 1,
+                TenureCause::Resignation => self.counts.resignations += 1,
+                TenureCause::First | TenureCause::Log => {}
+            },
+            OwnershipDecision::Ended(_) => self.counts.ends += 1,
+            _ => {}
+        }
+    }
+
+    /// At most one owner at any moment, and epochs never go down.
+    pub fn check_owners(&mut self) {
+        let mut violation = None;
+        let mut owners: BTreeMap<&ChainKey, Incarnation> = BTreeMap::new();
+        for (member, process) in &self.processes {
+            if process.machine.remaining(self.clock(process)).is_zero() {
+                continue;
+            }
+            for (chain, tenure) in process.machine.serving() {
+                if let Some(other) = owners.insert(chain, *member) {
+                    violation = Some(format!("two owners: {other} and {member}"));
+                }
+                let highest = self.served.get(chain).copied().unwrap_or(0);
+                if tenure.epoch < highest {
+                    violation = Some(format!("{member} serves {} after {highest}", tenure.epoch));
+                } else if tenure.epoch > highest {
+                    self.served.insert(chain.clone(), tenure.epoch);
+                }
+            }
+        }
+        if let Some(violation) = violation {
+            self.violate(&violation);
+        }
+    }
+
+    /// An accepted assignment stays until its holder resigned or ended.
+    fn note_assigned(&mut self) {
+        let state = &self.log.state;
+        let mut lost = None;
+        for ((key, epoch), holder) in &self.assigned {
+            let chain = &state.chains[key];
+            let index = epoch.checked_sub(chain.base);
+            let entry = index.and_then(|index| chain.entries.get(index as usize));
+            let stays = index.is_none() || entry.is_some_and(|it| it.holder == *holder);
+            if !stays {
+                lost = Some(format!(
+                    "the assignment of epoch {epoch} to {holder} is lost"
+                ));
+            }
+        }
+        for (key, chain) in &state.chains {
+            for (epoch, entry) in (chain.base..).zip(&chain.entries) {
+                self.assigned.insert((key.clone(), epoch), entry.holder);
+            }
+        }
+        if let Some(lost) = lost {
+            self.violate(&lost);
+        }
+    }
+
+    fn violate(&mut self, violation: &str) {
+        let now = self.now;
+        self.violation
+            .get_or_insert_with(|| format!("at {now} ms: {violation}"));
+    }
+}
+
+/// What decides the future of the world. Decisions and counts are its past.
+impl<R: LeaseRules> Hash for OwnershipWorld<R> {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.now.hash(state);
+        for process in self.processes.values() {
+            process.machine.hash(state);
+            process.rate.hash(state);
+        }
+        self.log_digest.hash(state);
+        self.served.hash(state);
+    }
+}
--- a/src/ownership/actor.rs
+++ b/src/ownership/actor.rs
@@ -16,7 +16,9 @@
 //!
 //! Certificates to be appended, as ends of their subjects, come out of the
 //! channel that the actor was built with. When the view shows an end cause,
-//! the process joins anew with a new actor.
+//! the process joins anew with a new actor, after a random time of up to a
+//! second: processes that end together would else take each other's new
+//! witnesses away.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/ownership/certificate.rs
+++ b/src/ownership/certificate.rs
@@ -106,8 +106,12 @@
     pub fn certify(&self, subject: Incarnation) -> Option<LapseCertificate> {
         let record = self.subjects.get(&subject)?;
         let known = record.statements.values().map(|said| said.active).max()?;
-        let oldest = known.max(FIRST_VERSION);
         let newest = *record.sets.keys().next_back()?;
+        let oldest = if R::former_sets_count() {
+            known.max(FIRST_VERSION)
+        } else {
+            newest
+        };
         if oldest > newest {
             return None;
         }
--- a/src/ownership/holder.rs
+++ b/src/ownership/holder.rs
@@ -98,12 +98,14 @@
         self.active.version
     }
 
-    /// Takes in which witnesses the log names, and which of them ended.
-    pub fn follow(&mut self, state: &FoldedState, now: ClockReading) {
+    /// Takes in which witnesses the log names, and which of them ended. Tells
+    /// whether there are new ones, which are to be asked at once.
+    pub fn follow(&mut self, state: &FoldedState, now: ClockReading) -> bool {
         let Some(member) = state.members.get(&self.holder) else {
-            return;
+            return false;
         };
-        if member.witnesses.version > self.named.version {
+        let is_newer = member.witnesses.version > self.named.version;
+        if is_newer {
             self.named = member.witnesses.clone();
         }
         let witnesses = self.active.members.iter().chain(&self.named.members);
@@ -112,6 +114,7 @@
             .copied()
             .collect();
         self.change_set(now);
+        is_newer
     }
 
     /// Ends the lease for good.
@@ -194,9 +197,6 @@
     /// Forgets every promise that was asked for before a gap in the process's
     /// own ticks.
     pub fn forget_promises(&mut self) {
-        if R::promises_survive_gap() {
-            return;
-        }
         self.rounds.clear();
         for answer in self.answers.values_mut() {
             answer.start = None;
--- a/src/ownership/machine.rs
+++ b/src/ownership/machine.rs
@@ -28,6 +28,7 @@
 use crate::base::hash::pair_score;
 use crate::base::ids::Epoch;
 use crate::base::ids::Incarnation;
+use crate::base::ids::Version;
 use crate::state::folded::FoldedState;
 use crate::state::record::ChainKey;
 use crate::state::record::LapseCertificate;
@@ -148,6 +149,11 @@
         self.holder.remaining(now)
     }
 
+    /// Returns the version of the witness set that the lease rests on.
+    pub fn active_version(&self) -> Version {
+        self.holder.active_version()
+    }
+
     /// Returns the chains that may be served while the lease is live.
     pub fn serving(&self) -> &BTreeMap<ChainKey, ChainTenure> {
         self.succession.serving()
@@ -195,7 +201,9 @@
         }
         self.pending
             .retain(|subject, _| state.members.contains_key(subject));
-        self.holder.follow(&state, now);
+        if self.holder.follow(&state, now) {
+            self.next_renewal = now.monotonic;
+        }
         self.witness.follow(&state, now.monotonic);
         self.collector.follow(&state);
         let changes = self.succession.follow(state, now.monotonic);
--- a/src/ownership/rules.rs
+++ b/src/ownership/rules.rs
@@ -35,15 +35,16 @@
         acknowledged >= quorum
     }
 
+    /// Whether a certificate under a new witness set needs to know that the
+    /// lease does not rest on a former one.
+    fn former_sets_count() -> bool {
+        true
+    }
+
     /// Whether enough members of a witness set have stated a lapse.
     fn lapse_proven(stated: usize, quorum: usize) -> bool {
         stated >= quorum
     }
-
-    /// Whether a holder's promises survive a gap in its ticks.
-    fn promises_survive_gap() -> bool {
-        false
-    }
 }
 
 /// The rules that every process runs.
