--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,9 @@
 //!
 //! * [`base`]: identifiers, hashing, time and the closed list of error kinds.
 //! * [`declarations`]: what operators declare.
+//! * [`configuration`]: operators' changes, from the call to the verdict.
 //! * [`handover`]: planned moves of chains.
+//! * [`hotkeys`]: keys that are too hot for their slice.
 //! * [`log`]: the client of the platform's log.
 //! * [`state`]: the records of the log and the state folded from them.
 //! * [`ownership`]: leases, witnesses, certificates and succession.
@@ -27,10 +29,12 @@
 
 pub mod admission;
 pub mod base;
+pub mod configuration;
 pub mod declarations;
 pub mod delivery;
 pub mod entry;
 pub mod handover;
+pub mod hotkeys;
 pub mod log;
 pub mod node;
 pub mod operator;
--- a/src/state/fold_change.rs
+++ b/src/state/fold_change.rs
@@ -12,6 +12,7 @@
 use super::folded::FoldedState;
 use super::folded::ObjectState;
 use super::record::ChangeRecord;
+use crate::base::ids::Version;
 
 /// How many verdicts the state keeps.
 pub const MAX_VERDICTS: usize = 1024;
@@ -26,6 +27,27 @@
             .map(|(_, verdict)| verdict)
     }
 
+    /// Judges a change as if nothing else came before it.
+    pub fn judge_change(&self, record: &ChangeRecord) -> ChangeVerdict {
+        let current = self.objects.get(&record.object);
+        let version = current.map_or(0, |object| object.version);
+        match current {
+            Some(object) if object.change == record.change => ChangeVerdict::Accepted(version),
+            _ if record.base == version => ChangeVerdict::Accepted(version + 1),
+            current => ChangeVerdict::Conflict {
+                version,
+                change: current.map_or_else(Box::default, |object| object.change.clone()),
+                operator: current.map_or_else(Box::default, |object| object.operator.clone()),
+            },
+        }
+    }
+
+    /// Tells whether the change made the object's current version already.
+    fn made_version(&self, record: &ChangeRecord, version: Version) -> bool {
+        let current = self.objects.get(&record.object);
+        current.is_some_and(|object| object.version == version)
+    }
+
     fn note_verdict(&mut self, change: &str, verdict: ChangeVerdict) {
         if self.verdicts.len() >= MAX_VERDICTS {
             self.verdicts.remove(0);
@@ -49,8 +71,10 @@
         if declared.is_some_and(|declaration| declaration.key() != record.object) {
             return Err(IgnoreReason::WrongObject);
         }
-        let verdict = self.judge(record);
-        if let ChangeVerdict::Accepted(version) = verdict {
+        let verdict = self.state.judge_change(record);
+        if let ChangeVerdict::Accepted(version) = verdict
+            && !self.state.made_version(record, version)
+        {
             let object = ObjectState {
                 version,
                 change: record.change.clone(),
@@ -62,18 +86,4 @@
         self.state.note_verdict(&record.change, verdict.clone());
         Ok(FoldEffect::Change(verdict))
     }
-
-    fn judge(&self, record: &ChangeRecord) -> ChangeVerdict {
-        let current = self.state.objects.get(&record.object);
-        let version = current.map_or(0, |object| object.version);
-        match current {
-            Some(object) if object.change == record.change => ChangeVerdict::Accepted(version),
-            _ if record.base == version => ChangeVerdict::Accepted(version + 1),
-            current => ChangeVerdict::Conflict {
-                version,
-                change: current.map_or_else(Box::default, |object| object.change.clone()),
-                operator: current.map_or_else(Box::default, |object| object.operator.clone()),
-            },
-        }
-    }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,12 +2,19 @@
 
 mod admission_scheduler;
 mod bench_checks;
+mod configuration;
 mod declarations;
 mod delivery;
+mod dispatch;
 mod error_table;
+mod figures;
 mod fold;
 mod model_check;
 mod operator_api;
+mod log_client;
+mod operator_pages;
+mod outcome_table;
+mod outcomes;
 mod ownership_actor;
 mod ownership_certificate;
 mod ownership_gate;
@@ -15,5 +22,7 @@
 mod ownership_succession;
 mod ownership_walk;
 mod settings;
+mod snapshot;
 mod standins;
 mod telemetry;
+mod winchctl;
