--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! The integration test program: one module per feature.
 
+mod admission_limit;
+mod admission_rates;
 mod admission_scheduler;
 mod bench_checks;
 mod codec;
