telemetry, entry: sample the time in which requests find no owner

A request that waits for a takeover and is then answered counted as no unavailable time at all: killing an owner of 339 slices under load showed 0.

status tells the figures of the answering process as owner and as entry.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::routing::target::TargetRequest;
 use crate::routing::target::choose_target;
 use crate::telemetry::metrics::RoutingMetrics;
+use crate::telemetry::metrics::StallGuard;
 use crate::transport::server::OrderHandler;
 
 /// How long past the deadline the owner's own verdict is waited for.
@@ -113,12 +114,16 @@
         };
         let mut changes = self.routes.subscribe();
         let mut backoff = RETRY_BACKOFF;
+        let mut stalled: Option<StallGuard> = None;
         loop {
             changes.mark_unchanged();
             let attempt = self.attempt(&entry, limit).await;
             let Err(failure) = &attempt.result else {
                 return attempt;
             };
+            if finds_no_owner(failure.kind) {
+                stalled.get_or_insert_with(|| self.metrics.stall());
+            }
             if !may_repeat(failure.kind, entry.idempotent, &mut limit)
                 || Instant::now() + backoff >= limit.patience
             {
@@ -220,6 +225,17 @@
     }
 }
 
+/// Tells whether an order found no owner that serves.
+fn finds_no_owner(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::NoOwner
+            | ErrorKind::NotOwner
+            | ErrorKind::OwnerUnreachable
+            | ErrorKind::LeaseLapsed
+    )
+}
+
 /// Tells whether an order that failed may be routed again.
 fn may_repeat(kind: ErrorKind, idempotent: bool, limit: &mut DispatchLimit) -> bool {
     let routing = matches!(
--- a/src/node/figures.rs
+++ b/src/node/figures.rs
@@ -20,8 +20,11 @@
 use crate::telemetry::metrics::MetricRegistry;
 use crate::upstream::announce::UpstreamWatch;
 
-/// How often the figures are kept.
-const KEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// How often it is looked whether requests find an owner.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The other figures are kept after so many samples.
+const KEEP_SAMPLES: u32 = 10;
 
 /// Keeps the metrics that follow from the state of the process.
 #[derive(Debug)]
@@ -37,27 +40,50 @@
     load: F,
 }
 
+/// What the figures were at the last look.
+#[derive(Debug, Default)]
+struct SeenFigures {
+    inputs: NodeInputs,
+    stalls: u64,
+    undecodable: u64,
+}
+
 impl<L: LogService, F: Fn() -> OwnerLoad> FigureKeeper<L, F> {
     /// Keeps the figures until the process stops.
     pub async fn run(self) {
-        let mut ticks = TimerService.subscribe(KEEP_INTERVAL);
-        let mut seen = NodeInputs::default();
-        let mut undecodable = 0;
+        let mut ticks = TimerService.subscribe(SAMPLE_INTERVAL);
+        let mut seen = SeenFigures::default();
         loop {
-            ticks.next().await;
-            let inputs = self.inputs.borrow().clone();
-            self.keep_upstream();
-            self.keep_state(&seen, &inputs);
-            let age = self.log.read_age().as_secs_f64();
-            self.metrics.log.configuration_age.set(age);
-            let counters = self.follower.counters().await;
-            let skipped = counters.undecodable - undecodable;
-            self.metrics.log.undecodable.inc_by(skipped);
-            undecodable = counters.undecodable;
-            seen = inputs;
+            for _sample in 0..KEEP_SAMPLES {
+                ticks.next().await;
+                self.sample_stalls(&mut seen);
+            }
+            self.keep(&mut seen).await;
         }
     }
 
+    fn sample_stalls(&self, seen: &mut SeenFigures) {
+        let routing = &self.metrics.routing;
+        let stalls = routing.stalls.get();
+        if routing.stalled.get() > 0 || stalls > seen.stalls {
+            routing.unavailable.inc_by(SAMPLE_INTERVAL.as_secs_f64());
+        }
+        seen.stalls = stalls;
+    }
+
+    async fn keep(&self, seen: &mut SeenFigures) {
+        let inputs = self.inputs.borrow().clone();
+        self.keep_upstream();
+        self.keep_state(&seen.inputs, &inputs);
+        seen.inputs = inputs;
+        let age = self.log.read_age().as_secs_f64();
+        self.metrics.log.configuration_age.set(age);
+        let undecodable = self.follower.counters().await.undecodable;
+        let skipped = undecodable.saturating_sub(seen.undecodable);
+        self.metrics.log.undecodable.inc_by(skipped);
+        seen.undecodable = undecodable;
+    }
+
     fn keep_upstream(&self) {
         let metrics = &self.metrics.upstream;
         let announced = self.upstream.borrow().clone();
--- a/src/operator/client/status.rs
+++ b/src/operator/client/status.rs
@@ -96,7 +96,6 @@
             class.answered.to_string(),
             class.not_run.to_string(),
             class.unknown.to_string(),
-            format!("{:.1}", class.unavailable_seconds),
         ]
     });
     write_table(
@@ -108,12 +107,28 @@
             "ANSWERED",
             "NOT RUN",
             "UNKNOWN",
-            "UNAVAILABLE S",
         ],
         rows,
     )
 }
 
+fn write_own_figures(status: &api::StatusResponse) -> String {
+    let node = &status.node;
+    let upstream = format!(
+        "{node} as owner: {} of at most {} requests run, {} wait",
+        status.running, status.limit, status.waiting
+    );
+    let entry = format!(
+        "{node} as entry: {:.1} s in which requests found no owner, {} wait for one now",
+        status.unavailable_seconds, status.stalled
+    );
+    let churn = format!(
+        "since {node} joined: {} chains moved, {} of them to it",
+        status.chain_moves, status.takeovers
+    );
+    [upstream, entry, churn].join("\n")
+}
+
 impl OperationReport for StatusReport {
     fn text(&self) -> String {
         let status = &self.status;
@@ -128,16 +143,7 @@
         parts.push(write_members(&status.members));
         parts.push(write_services(&status.services));
         parts.push(write_classes(&status.classes));
-        parts.push(format!(
-            "{}: {} of at most {} requests run, {} wait; since it joined {} chains have moved, \
-             {} of them to it",
-            status.node,
-            status.running,
-            status.limit,
-            status.waiting,
-            status.chain_moves,
-            status.takeovers
-        ));
+        parts.push(write_own_figures(status));
         parts.join("\n\n")
     }
 
@@ -157,6 +163,8 @@
             "running": status.running,
             "waiting": status.waiting,
             "limit": status.limit,
+            "unavailable_seconds": status.unavailable_seconds,
+            "stalled": status.stalled,
         })
     }
 }
@@ -197,6 +205,5 @@
         "unknown": class.unknown,
         "p50_seconds": class.p50_seconds,
         "p99_seconds": class.p99_seconds,
-        "unavailable_seconds": class.unavailable_seconds,
     })
 }
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -32,6 +32,7 @@
     let planner = &view.metrics.planner;
     let ownership = &view.metrics.ownership;
     let upstream = &view.metrics.upstream;
+    let routing = &view.metrics.routing;
     api::StatusResponse {
         node: view.node.to_string(),
         incarnation: view.incarnation,
@@ -57,6 +58,8 @@
         running: upstream.running.get().unsigned_abs(),
         waiting: upstream.waiting.get().unsigned_abs(),
         limit: upstream.limit.get().unsigned_abs(),
+        unavailable_seconds: routing.unavailable.get(),
+        stalled: routing.stalled.get().unsigned_abs(),
     }
 }
 
@@ -135,6 +138,5 @@
         unknown: figures.unknown,
         p50_seconds: figures.p50,
         p99_seconds: figures.p99,
-        unavailable_seconds: figures.unavailable,
     }
 }
