admission: let outcomes outrank health probes

Cause: probes were written but unused, and a probe that lies must not matter.

Change: an owner probes its upstream's health once a second; the word counts only while no outcome of the last 2 s says better, and as half failing at most. The load probe is dropped, since an upstream's only caller knows what runs.

Seen failing: with the probe outranking outcomes, and with the probe ignored while idle, the new test fails.

Conclusion: a lying probe moves the choice of an idle upstream only.

--- a/crates/winch-test-support/src/owner.rs
+++ b/crates/winch-test-support/src/owner.rs
@@ -83,6 +83,8 @@
     pub ended: Vec<Box<str>>,
     /// Cancelled orders, by id.
     pub cancelled: Vec<OrderId>,
+    /// Whether the health probe tells that the upstream is ill.
+    pub claims_illness: bool,
     replies: VecDeque<FakeReply>,
 }
 
@@ -159,6 +161,10 @@
         self.ledger().cancelled.push(id);
         std::future::ready(true)
     }
+
+    fn is_healthy(&self, _info: Arc<UpstreamInfo>) -> impl Future<Output = bool> + Send + 'static {
+        std::future::ready(!self.ledger().claims_illness)
+    }
 }
 
 /// An owner on fakes.
--- a/src/admission/actor.rs
+++ b/src/admission/actor.rs
@@ -15,6 +15,7 @@
 use xtra::WeakAddress;
 
 use super::class_queue::CallerHash;
+use super::failing::FailingPart;
 use super::limit::AdaptiveLimit;
 use super::limit::SlotSample;
 use super::limit::SlotVerdict;
@@ -41,10 +42,6 @@
 const ABANDONED_INTERVAL: Duration = Duration::from_millis(50);
 /// How often the rates are measured.
 const RATE_WINDOW: Duration = Duration::from_millis(250);
-/// A new verdict moves the failing part by one part in so many.
-const FAILING_WEIGHT: u32 = 32;
-/// The failing part is kept in millionths.
-const FAILING_WHOLE: u32 = 1_000_000;
 /// When to retry while the upstream is away.
 const ABSENT_RETRY: Duration = Duration::from_millis(500);
 
@@ -89,6 +86,10 @@
 #[derive(Debug)]
 struct SetClasses(Vec<ClassDeclaration>);
 
+/// Tells what a health probe said.
+#[derive(Debug)]
+struct HintHealth(bool);
+
 /// Time has passed.
 #[derive(Debug)]
 struct Housekeep;
@@ -114,7 +115,7 @@
     start: Instant,
     window_start: Duration,
     abandoned_check: Duration,
-    failing: u32,
+    failing: FailingPart,
 }
 
 impl AdmissionActor {
@@ -166,21 +167,12 @@
         }
     }
 
-    fn learn_failing(&mut self, verdict: SlotVerdict) {
-        let sample = match verdict {
-            SlotVerdict::Answered => 0,
-            SlotVerdict::Failed | SlotVerdict::Lost => FAILING_WHOLE,
-            SlotVerdict::Shed | SlotVerdict::Unused => return,
-        };
-        self.failing = (self.failing * (FAILING_WEIGHT - 1) + sample) / FAILING_WEIGHT;
-    }
-
     fn publish_rates(&mut self, now: Duration) {
         let window = now.saturating_sub(self.window_start);
         self.window_start = now;
         let mut load = OwnerLoad {
             limit: u16::try_from(self.scheduler.limit()).unwrap_or(u16::MAX),
-            failing_permille: (self.failing / 1_000) as u16,
+            failing_permille: self.failing.permille(),
             ..OwnerLoad::default()
         };
         for (index, meter) in self.meters.iter_mut().enumerate() {
@@ -225,7 +217,7 @@
         };
         let now = self.now();
         self.limit.record(now, sample);
-        self.learn_failing(message.verdict);
+        self.failing.record(now, message.verdict);
         if let Some(class) = self.index_of(message.class) {
             match message.verdict {
                 SlotVerdict::Unused | SlotVerdict::Shed => self.scheduler.finish_unused(class),
@@ -243,6 +235,7 @@
         let now = self.now();
         self.limit.set_capacity(now, message.0);
         if message.0.is_none() {
+            self.failing.reset();
             // Proof of "not run": a waiting request has not been dispatched.
             let refusal = SlotRefusal {
                 kind: ErrorKind::Draining,
@@ -267,6 +260,15 @@
     }
 }
 
+impl Handler<HintHealth> for AdmissionActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: HintHealth, _ctx: &mut Context<Self>) {
+        let now = self.now();
+        self.failing.hint(now, message.0);
+    }
+}
+
 impl Handler<Housekeep> for AdmissionActor {
     type Return = ();
 
@@ -315,7 +317,7 @@
             start: Instant::now(),
             window_start: Duration::ZERO,
             abandoned_check: Duration::ZERO,
-            failing: 0,
+            failing: FailingPart::default(),
         };
         tokio::spawn(xtra::run(mailbox, actor));
         tokio::spawn(send_housekeeping(address.downgrade(), timer));
@@ -355,6 +357,11 @@
         let _stopped = self.actor.send(SetCapacity(capacity)).await.is_err();
     }
 
+    /// Tells what a health probe said.
+    pub async fn hint_health(&self, healthy: bool) {
+        let _stopped = self.actor.send(HintHealth(healthy)).await.is_err();
+    }
+
     /// Tells the declared classes.
     pub async fn set_classes(&self, classes: Vec<ClassDeclaration>) {
         let _stopped = self.actor.send(SetClasses(classes)).await.is_err();
--- /dev/null
+++ b/src/admission/failing.rs
@@ -0,0 +1,59 @@
+//! What part of an upstream's requests fails.
+//!
+//! Outcomes outrank probes: a probe counts only while there are no recent
+//! outcomes, and then makes an upstream seem half failing at most, so that it
+//! still gets requests that show the truth.
+
+use std::time::Duration;
+
+use super::limit::SlotVerdict;
+
+/// A new verdict moves the failing part by one part in so many.
+const VERDICT_WEIGHT: u32 = 32;
+/// The failing part is kept in millionths.
+const WHOLE: u32 = 1_000_000;
+/// Millionths in a thousandth.
+const PERMILLE: u32 = 1_000;
+/// A probe does not count for so long after an outcome.
+const OUTCOME_MEMORY: Duration = Duration::from_secs(2);
+
+/// What part of an upstream's requests fails.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FailingPart {
+    part: u32,
+    last_outcome: Option<Duration>,
+}
+
+impl FailingPart {
+    /// Returns the part in thousandths.
+    pub fn permille(&self) -> u16 {
+        (self.part / PERMILLE) as u16
+    }
+
+    /// Learns from how a request left its slot.
+    pub fn record(&mut self, now: Duration, verdict: SlotVerdict) {
+        let sample = match verdict {
+            SlotVerdict::Answered => 0,
+            SlotVerdict::Failed | SlotVerdict::Lost => WHOLE,
+            SlotVerdict::Shed | SlotVerdict::Unused => return,
+        };
+        self.last_outcome = Some(now);
+        self.part = (self.part * (VERDICT_WEIGHT - 1) + sample) / VERDICT_WEIGHT;
+    }
+
+    /// Takes a probe's word, if no outcome says better.
+    pub fn hint(&mut self, now: Duration, healthy: bool) {
+        let outranked = self
+            .last_outcome
+            .is_some_and(|last| now < last + OUTCOME_MEMORY);
+        if outranked {
+            return;
+        }
+        self.part = if healthy { 0 } else { WHOLE / 2 };
+    }
+
+    /// Forgets an upstream that has left.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+}
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -11,6 +11,7 @@
 pub mod class_queue;
 pub mod class_state;
 pub mod entry_limiter;
+pub mod failing;
 pub mod limit;
 pub mod load;
 pub mod permit;
--- a/src/delivery/owner.rs
+++ b/src/delivery/owner.rs
@@ -55,6 +55,9 @@
 /// The first HTTP status that tells of a server's fault.
 const SERVER_ERROR: u16 = 500;
 
+/// How often the upstream is asked for its health.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The owner's side of one process: everything between an order's arrival and
 /// its outcome.
 #[derive(Debug)]
@@ -98,8 +101,13 @@
         let queue = AdmissionQueue::start(TimerService);
         let outcomes = Arc::new(OutcomeStore::new(settings.outcome_bounds()));
         let (declared, declarations) = watch::channel(Arc::default());
-        tokio::spawn(follow_upstream(announced, Arc::clone(&info), queue.clone()));
         tokio::spawn(follow_classes(declarations, queue.clone()));
+        tokio::spawn(probe_upstream(
+            upstream.clone(),
+            announced.clone(),
+            queue.clone(),
+        ));
+        tokio::spawn(follow_upstream(announced, Arc::clone(&info), queue.clone()));
         Self {
             gate,
             upstream,
@@ -426,6 +434,23 @@
     }
 }
 
+/// Probes the announced upstream until it is announced no more.
+async fn probe_upstream<U: UpstreamService>(
+    upstream: U,
+    announced: UpstreamWatch,
+    queue: AdmissionQueue,
+) {
+    let mut ticks = TimerService.subscribe(PROBE_INTERVAL);
+    while announced.has_changed().is_ok() {
+        ticks.next().await;
+        let current = announced.borrow().clone();
+        if let Some(info) = current {
+            let healthy = upstream.is_healthy(info).await;
+            queue.hint_health(healthy).await;
+        }
+    }
+}
+
 async fn follow_classes(
     mut declarations: watch::Receiver<Arc<[ClassDeclaration]>>,
     queue: AdmissionQueue,
--- a/src/upstream/http.rs
+++ b/src/upstream/http.rs
@@ -20,7 +20,6 @@
 
 use super::service::CallError;
 use super::service::OrderId;
-use super::service::ProbedLoad;
 use super::service::UpstreamOrder;
 use super::service::UpstreamService;
 use crate::delivery::message::HeaderPair;
@@ -74,22 +73,6 @@
             .build()?;
         Ok(Self { client, max_answer })
     }
-
-    /// Asks the upstream whether it is healthy.
-    pub async fn probe_health(&self, address: SocketAddr) -> bool {
-        let Some(url) = upstream_url(address, "/winch/health") else {
-            return false;
-        };
-        let sent = self.client.get(url).timeout(PROBE_TIMEOUT).send().await;
-        sent.is_ok_and(|response| response.status().is_success())
-    }
-
-    /// Asks the upstream for its load.
-    pub async fn probe_load(&self, address: SocketAddr) -> Option<ProbedLoad> {
-        let url = upstream_url(address, "/winch/load")?;
-        let sent = self.client.get(url).timeout(PROBE_TIMEOUT).send().await;
-        sent.ok()?.json().await.ok()
-    }
 }
 
 impl UpstreamService for HttpUpstream {
@@ -107,6 +90,10 @@
     ) -> impl Future<Output = bool> + Send + 'static {
         cancel_order(self.client.clone(), info, id)
     }
+
+    fn is_healthy(&self, info: Arc<UpstreamInfo>) -> impl Future<Output = bool> + Send + 'static {
+        probe_health(self.client.clone(), info)
+    }
 }
 
 async fn run_order(
@@ -146,6 +133,14 @@
     sent.is_ok_and(|response| response.status().is_success())
 }
 
+async fn probe_health(client: Client, info: Arc<UpstreamInfo>) -> bool {
+    let Some(url) = upstream_url(info.address, "/winch/health") else {
+        return false;
+    };
+    let sent = client.get(url).timeout(PROBE_TIMEOUT).send().await;
+    sent.is_ok_and(|response| response.status().is_success())
+}
+
 /// Proof of "not run": the upstream itself states it, with the status and the
 /// header that the interface reserves for that.
 fn is_refusal(response: &Response) -> bool {
--- a/src/upstream/service.rs
+++ b/src/upstream/service.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Deserialize;
-
 use crate::delivery::message::OrderRequest;
 use crate::delivery::message::UpstreamAnswer;
 use crate::ownership::gate::FenceToken;
@@ -41,16 +39,6 @@
     Truncated,
 }
 
-/// What an upstream's load probe tells; may lag or mislead.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Deserialize)]
-pub struct ProbedLoad {
-    /// How many orders run.
-    pub running: u32,
-    /// How many may run at once.
-    pub slots: u32,
-}
-
 /// Runs orders on an upstream.
 pub trait UpstreamService: Clone + Send + Sync + 'static {
     /// Runs an order and returns the whole answer.
@@ -65,4 +53,7 @@
         info: Arc<UpstreamInfo>,
         id: OrderId,
     ) -> impl Future<Output = bool> + Send + 'static;
+
+    /// Asks the upstream whether it is healthy. The answer may lag or mislead.
+    fn is_healthy(&self, info: Arc<UpstreamInfo>) -> impl Future<Output = bool> + Send + 'static;
 }
--- a/tests/testsuite/delivery.rs
+++ b/tests/testsuite/delivery.rs
@@ -165,3 +165,27 @@
     assert_eq!(late.unwrap_err().kind, ErrorKind::Draining);
     assert_eq!(fixture.upstream.ledger().ended.len(), 2);
 }
+
+#[tokio::test(start_paused = true)]
+async fn outcomes_outrank_a_lying_health_probe() {
+    let failing = owner_fixture(4, FakeReply::Lose(SERVICE_TIME)).await;
+    let working = owner_fixture(4, FakeReply::Answer(SERVICE_TIME)).await;
+    let idle = owner_fixture(4, FakeReply::Answer(SERVICE_TIME)).await;
+    working.upstream.ledger().claims_illness = true;
+    idle.upstream.ledger().claims_illness = true;
+
+    for _ in 0..200 {
+        let _lost = failing.handle(order("orders", "/a")).await.is_err();
+        working.handle(order("orders", "/a")).await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    let failing_load = failing.owner.load();
+    let working_load = working.owner.load();
+    let idle_load = idle.owner.load();
+    assert!(failing_load.failing_permille > 900, "{failing_load:?}");
+    assert_eq!(working_load.failing_permille, 0);
+    assert_eq!(idle_load.failing_permille, 500);
+    assert!(failing_load.pressure() > idle_load.pressure());
+    assert!(idle_load.pressure() > working_load.pressure());
+}
