--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -29,4 +29,6 @@
 mod snapshot;
 mod standins;
 mod telemetry;
+mod transport_frames;
+mod transport_link;
 mod winchctl;
--- /dev/null
+++ b/tests/testsuite/transport_link.rs
@@ -0,0 +1,163 @@
+//! Links replace silent connections and ask again without a second run.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use buckthornwinch::admission::load::OwnerLoad;
+use buckthornwinch::base::error::ErrorKind;
+use buckthornwinch::delivery::message::OrderRequest;
+use buckthornwinch::delivery::message::OrderResult;
+use buckthornwinch::delivery::message::UpstreamAnswer;
+use buckthornwinch::transport::link::PeerLink;
+use buckthornwinch::transport::link::RequestNumbers;
+use buckthornwinch::transport::server::OrderHandler;
+use buckthornwinch::transport::server::PeerServer;
+use bytes::Bytes;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+use winch_test_support::owner::order;
+use winch_test_support::relay::SilentDirection;
+use winch_test_support::relay::TcpRelay;
+
+const ENTRY: u64 = 1;
+const OWNER: u64 = 2;
+
+/// Counts runs and answers with the request's path once it is released.
+#[derive(Debug, Clone, Default)]
+struct CountingOwner {
+    runs: Arc<AtomicU64>,
+    started: Arc<Notify>,
+    release: CancellationToken,
+}
+
+impl OrderHandler for CountingOwner {
+    async fn handle(&self, order: OrderRequest, _cancelled: CancellationToken) -> OrderResult {
+        self.runs.fetch_add(1, Ordering::SeqCst);
+        self.started.notify_one();
+        self.release.cancelled().await;
+        Ok(UpstreamAnswer {
+            status: 200,
+            headers: Vec::new(),
+            body: Bytes::copy_from_slice(order.path.as_bytes()),
+            epoch: 1,
+        })
+    }
+
+    fn load(&self) -> OwnerLoad {
+        OwnerLoad::default()
+    }
+}
+
+async fn serve(incarnation: u64, owner: CountingOwner) -> (SocketAddr, CancellationToken) {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let stop = CancellationToken::new();
+    tokio::spawn(PeerServer::new(incarnation, owner).serve(listener, stop.clone()));
+    (address, stop)
+}
+
+fn link(address: SocketAddr) -> PeerLink {
+    PeerLink::start(ENTRY, OWNER, address, RequestNumbers::default())
+}
+
+async fn runs_after_silence(direction: SilentDirection) -> (OrderResult, u64, u64) {
+    let owner = CountingOwner::default();
+    let (address, _stop) = serve(OWNER, owner.clone()).await;
+    let relay = TcpRelay::start(address).await;
+    let link = link(relay.address());
+    let call = tokio::spawn(async move { link.call(order("orders", "/reorder")).await });
+    owner.started.notified().await;
+    relay.silence(direction);
+    while relay.accepted() < 2 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    owner.release.cancel();
+    let result = call.await.expect("the call does not panic");
+    (result, owner.runs.load(Ordering::SeqCst), relay.accepted())
+}
+
+#[tokio::test]
+async fn a_request_on_a_silent_connection_is_answered_and_runs_once() {
+    for direction in [
+        SilentDirection::Forward,
+        SilentDirection::Back,
+        SilentDirection::Both,
+    ] {
+        let (result, runs, connections) = runs_after_silence(direction).await;
+
+        let body = result.map(|answer| answer.body);
+        assert_eq!(body, Ok(Bytes::from_static(b"/reorder")), "{direction:?}");
+        assert_eq!((runs, connections), (1, 2), "{direction:?}");
+    }
+}
+
+#[tokio::test]
+async fn many_answers_reach_their_own_requests() {
+    let owner = CountingOwner::default();
+    owner.release.cancel();
+    let (address, _stop) = serve(OWNER, owner).await;
+    let link = link(address);
+
+    let calls = (0..200).map(|number| {
+        let link = link.clone();
+        async move {
+            let path = format!("/{number}");
+            let result = link.call(order("lookups", &path)).await;
+            (path, result)
+        }
+    });
+    let answers = futures_util::future::join_all(calls).await;
+
+    for (path, result) in answers {
+        let body = result.map(|answer| answer.body);
+        assert_eq!(body, Ok(Bytes::from(path)));
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_was_never_sent_is_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    drop(listener);
+
+    let result = link(address).call(order("orders", "/reorder")).await;
+
+    let kind = result.map_err(|failure| failure.kind);
+    assert_eq!(kind.err(), Some(ErrorKind::OwnerUnreachable));
+}
+
+#[tokio::test]
+async fn a_restarted_owner_gets_nothing_that_was_meant_for_the_earlier_one() {
+    let owner = CountingOwner::default();
+    owner.release.cancel();
+    let (address, _stop) = serve(OWNER + 1, owner.clone()).await;
+
+    let result = link(address).call(order("orders", "/reorder")).await;
+
+    let kind = result.map_err(|failure| failure.kind);
+    assert_eq!(kind.err(), Some(ErrorKind::OwnerUnreachable));
+    assert_eq!(owner.runs.load(Ordering::SeqCst), 0);
+}
+
+#[tokio::test]
+async fn a_request_that_was_sent_to_an_owner_that_ended_is_lost() {
+    let owner = CountingOwner::default();
+    let (address, stop) = serve(OWNER, owner.clone()).await;
+    let link = link(address);
+    let call = tokio::spawn(async move { link.call(order("orders", "/reorder")).await });
+
+    owner.started.notified().await;
+    stop.cancel();
+    let result = call.await.expect("the call does not panic");
+
+    let kind = result.map_err(|failure| failure.kind);
+    assert_eq!(kind.err(), Some(ErrorKind::ConnectionLost));
+}
