--- a/crates/winch-test-support/src/lib.rs
+++ b/crates/winch-test-support/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod fake_backend;
 pub mod fake_log;
 pub mod fleet;
+pub mod naive_planner;
 pub mod naive_scheduler;
 pub mod owner;
 pub mod ownership_world;
--- a/src/planner/balance.rs
+++ b/src/planner/balance.rs
@@ -6,11 +6,19 @@
 use super::placement::PlacementCandidate;
 use super::placement::owner_score;
 
-/// Chains that a member may own above its share, relative to the share.
-const UPPER_BOUND: f64 = 1.08;
+/// Chains that a member is given at most, relative to its share.
+const UPPER_FILL: f64 = 1.07;
 
-/// Chains that a member may own below its share, relative to the share.
-const LOWER_BOUND: f64 = 0.92;
+/// Chains that a member is given before the others, relative to its share.
+const LOWER_FILL: f64 = 0.92;
+
+/// Chains of a member that start a move away from it, relative to its share.
+///
+/// Wider than the fill, so that a share that shrinks a little moves nothing.
+const OVERFULL: f64 = 1.13;
+
+/// Chains of a member that start a move towards it, relative to its share.
+const UNDERFULL: f64 = 0.88;
 
 /// One chain as the balance sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,6 +43,8 @@
     owned: usize,
     upper: usize,
     lower: usize,
+    overfull: usize,
+    underfull: usize,
 }
 
 /// Chooses owners for chains without one, and at most `moves` changes for
@@ -70,8 +80,10 @@
                 MemberBalance {
                     candidate,
                     owned: 0,
-                    upper: (share * UPPER_BOUND).floor().max(share.ceil()) as usize,
-                    lower: (share * LOWER_BOUND).ceil().min(share.floor()) as usize,
+                    upper: (share * UPPER_FILL).floor().max(share.ceil()) as usize,
+                    lower: (share * LOWER_FILL).ceil().min(share.floor()) as usize,
+                    overfull: (share * OVERFULL).floor().max(share.ceil()) as usize,
+                    underfull: (share * UNDERFULL).ceil().min(share.floor()) as usize,
                 }
             })
             .collect();
@@ -95,12 +107,15 @@
         }
     }
 
+    /// Gives chains without an owner to members below their share first, so
+    /// that no second chain has to move to even them out.
     fn assign_orphans(&mut self) {
         for chain in 0..self.chains.len() {
             if self.owners[chain].is_none() {
                 let member = self
-                    .best_member(chain, |member| member.owned < member.upper)
-                    .unwrap_or_else(|| self.least_loaded());
+                    .best_member(chain, |member| member.owned < member.lower)
+                    .or_else(|| self.best_member(chain, |member| member.owned < member.upper))
+                    .unwrap_or_else(|| self.emptiest());
                 self.give(chain, member);
             }
         }
@@ -123,8 +138,8 @@
     fn next_move(&self) -> Option<(usize, usize)> {
         let giver = self.fullest();
         let taker = self.emptiest();
-        let overfull = self.members[giver].owned > self.members[giver].upper;
-        let underfull = self.members[taker].owned < self.members[taker].lower;
+        let overfull = self.members[giver].owned > self.members[giver].overfull;
+        let underfull = self.members[taker].owned < self.members[taker].underfull;
         if giver == taker || !(overfull || underfull) {
             return None;
         }
@@ -148,10 +163,6 @@
         self.extreme(|member| -(member.owned as f64) / member.upper.max(1) as f64)
     }
 
-    fn least_loaded(&self) -> usize {
-        self.emptiest()
-    }
-
     fn extreme(&self, measure: impl Fn(&MemberBalance<'a>) -> f64) -> usize {
         let ranked = self
             .members
--- /dev/null
+++ b/tests/testsuite/handover.rs
@@ -0,0 +1,112 @@
+//! What a process resigns in planned moves, and how a chain closes.
+
+use buckthornwinch::base::collections::FastSet;
+use buckthornwinch::base::ids::Epoch;
+use buckthornwinch::base::ids::Incarnation;
+use buckthornwinch::handover::activity::ChainActivity;
+use buckthornwinch::handover::duty::resign_duties;
+use buckthornwinch::state::record::ChainAppend;
+use buckthornwinch::state::record::LogRecord;
+use winch_test_support::fleet::FleetLog;
+use winch_test_support::fleet::incarnation;
+use winch_test_support::records::slice;
+
+/// Node 1 owns slice 0, 2 and 3 stand by, and it moves to node 4 with 5 behind.
+fn moving_fleet() -> FleetLog {
+    let mut log = FleetLog::with_nodes(5);
+    log.assign(&slice(0), &[1, 2, 3]);
+    let append = ChainAppend {
+        chain: slice(0),
+        at: 3,
+        holders: vec![incarnation(4), incarnation(5)],
+        supersedes: true,
+    };
+    log.append(
+        incarnation(1),
+        vec![LogRecord::Assign {
+            term: 1,
+            appends: vec![append],
+        }],
+    );
+    log
+}
+
+fn duties(
+    log: &FleetLog,
+    ended: &[u16],
+    node: u16,
+    is_leaving: bool,
+) -> Vec<(Epoch, Option<Incarnation>)> {
+    let ended: FastSet<Incarnation> = ended.iter().map(|node| incarnation(*node)).collect();
+    resign_duties(&log.state, &ended, incarnation(node), is_leaving)
+        .into_iter()
+        .map(|duty| (duty.epoch, duty.successor))
+        .collect()
+}
+
+#[test]
+fn standbys_resign_at_once_and_the_serving_holder_waits_for_the_next() {
+    let log = moving_fleet();
+
+    assert_eq!(duties(&log, &[], 2, false), [(1, None)]);
+    assert_eq!(duties(&log, &[], 3, false), [(2, None)]);
+    assert_eq!(duties(&log, &[], 1, false), [(0, Some(incarnation(4)))]);
+    assert_eq!(duties(&log, &[], 4, false), []);
+}
+
+#[test]
+fn a_move_goes_on_to_the_next_holder_when_the_first_is_lost() {
+    let log = moving_fleet();
+
+    let duties = duties(&log, &[4], 1, false);
+
+    assert_eq!(duties, [(0, Some(incarnation(5)))]);
+}
+
+#[test]
+fn a_standby_that_serves_after_a_loss_carries_the_move_on() {
+    let log = moving_fleet();
+
+    let duties = duties(&log, &[1], 2, false);
+
+    assert_eq!(duties, [(1, Some(incarnation(4)))]);
+}
+
+#[test]
+fn nobody_resigns_when_all_holders_behind_the_target_are_lost() {
+    let log = moving_fleet();
+
+    assert_eq!(duties(&log, &[4, 5], 1, false), []);
+}
+
+#[test]
+fn a_leaving_process_resigns_to_the_next_and_keeps_what_nobody_stands_by_for() {
+    let mut log = FleetLog::with_nodes(3);
+    log.assign(&slice(0), &[1, 2]);
+    log.assign(&slice(1), &[1]);
+
+    let duties = duties(&log, &[], 1, true);
+
+    assert_eq!(duties, [(0, Some(incarnation(2)))]);
+}
+
+#[tokio::test]
+async fn a_chain_closes_when_the_last_request_has_finished() {
+    let activity = ChainActivity::default();
+    let running = activity.enter(&slice(0), 1).expect("the chain is open");
+    let closing = tokio::spawn({
+        let activity = activity.clone();
+        async move { activity.close(&slice(0), 1).await }
+    });
+    while activity.enter(&slice(0), 1).is_some() {
+        tokio::task::yield_now().await;
+    }
+
+    let was_closed = closing.is_finished();
+    drop(running);
+    closing.await.expect("the wait ends");
+
+    assert!(!was_closed);
+    assert!(activity.enter(&slice(0), 1).is_none());
+    assert!(activity.enter(&slice(0), 2).is_some());
+}
