--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! The integration test program: one module per feature.
 
+mod admission_limit;
+mod admission_rates;
 mod admission_scheduler;
 mod bench_checks;
 mod codec;
@@ -10,6 +12,8 @@
 mod error_table;
 mod figures;
 mod fold;
+mod model_check;
+mod operator_api;
 mod log_client;
 mod log_sessions;
 mod operator_pages;
@@ -21,6 +25,7 @@
 mod ownership_lease;
 mod ownership_succession;
 mod peer_state;
+mod ownership_walk;
 mod settings;
 mod snapshot;
 mod standins;
