state, configuration: keep slices and division under owned keys

Cause: a change of a service's slices maps keys to other slices; a process that has not read it would serve the same keys as others. And one change that the fold ignored hid the verdicts of the others in its append: they were told not appended while they were in force.

Change: the fold ignores a change of slices or division while the service has chains, and operators are told so before the append; an ignored change is told by itself.

Conclusion: an operator's change cannot give a key two owners.

--- a/src/configuration/clerk.rs
+++ b/src/configuration/clerk.rs
@@ -14,6 +14,7 @@
 use crate::operator::backend::BackendError;
 use crate::operator::backend::SubmitVerdict;
 use crate::state::effect::FoldEffect;
+use crate::state::effect::IgnoreReason;
 use crate::state::record::ChangeRecord;
 use crate::state::record::LogRecord;
 
@@ -74,7 +75,7 @@
         let left = deadline.saturating_duration_since(Instant::now());
         // What is left after a lost answer is spent on reading back.
         match self.writer.append(records, left.mul_f64(0.8)).await {
-            Ok(effects) => effects.iter().map(verdict_of).collect(),
+            Ok(effects) => collect_verdicts(&effects),
             Err(AppendError::Unavailable) => Err(failure(
                 "the log did not take the change; apply it again later",
             )),
@@ -100,9 +101,26 @@
     }
 }
 
+/// Fails only if the fold ignored every change.
+fn collect_verdicts(effects: &[FoldEffect]) -> Result<Vec<SubmitVerdict>, BackendError> {
+    let verdicts: Vec<Result<SubmitVerdict, BackendError>> =
+        effects.iter().map(verdict_of).collect();
+    if verdicts.iter().all(Result::is_err) {
+        return verdicts.into_iter().collect();
+    }
+    let told = verdicts
+        .into_iter()
+        .map(|verdict| verdict.unwrap_or_else(|error| unknown(&error.detail)));
+    Ok(told.collect())
+}
+
 fn verdict_of(effect: &FoldEffect) -> Result<SubmitVerdict, BackendError> {
     match effect {
         FoldEffect::Change(verdict) => Ok(SubmitVerdict::Settled(verdict.clone())),
+        FoldEffect::Ignored(IgnoreReason::KeysOwned) => Err(failure(
+            "the service's keys are owned; declare a service of another name in place of \
+             changing slices or division",
+        )),
         FoldEffect::Ignored(reason) => Err(failure(&format!(
             "the fold ignored the change ({reason:?}); apply it again at another process"
         ))),
--- a/src/operator/judge.rs
+++ b/src/operator/judge.rs
@@ -49,6 +49,7 @@
     faults.extend(find_repeated(&changes));
     if faults.is_empty() {
         faults.extend(check_result(state, &changes));
+        faults.extend(check_owned(state, &changes));
     }
     if faults.is_empty() {
         Ok(changes)
@@ -122,6 +123,19 @@
     faults
 }
 
+/// Refuses what the fold would ignore: other slices under owned keys.
+fn check_owned(state: &FoldedState, changes: &[ChangeRecord]) -> Vec<DocumentFault> {
+    let declared = changes.iter().filter_map(|it| it.declaration.as_ref());
+    declared
+        .filter(|declaration| state.moves_owned_keys(declaration))
+        .map(|declaration| {
+            let place = declaration.key().to_string();
+            let problem = "changes slices or division of a service whose keys are owned";
+            DocumentFault::whole(&place, problem).allowing("a service of another name")
+        })
+        .collect()
+}
+
 /// Checks the declarations that would be in force after every change.
 fn check_result(state: &FoldedState, changes: &[ChangeRecord]) -> Vec<DocumentFault> {
     let mut result: BTreeMap<ObjectKey, &Declaration> = BTreeMap::new();
--- a/src/state/effect.rs
+++ b/src/state/effect.rs
@@ -37,6 +37,8 @@
     NotMergeable,
     /// The declaration is of another object than the record names.
     WrongObject,
+    /// The service's keys are owned: its slices and division cannot change.
+    KeysOwned,
 }
 
 /// What the fold made of one record.
--- a/src/state/fold_change.rs
+++ b/src/state/fold_change.rs
@@ -11,8 +11,12 @@
 use super::folded::ChangeVerdict;
 use super::folded::FoldedState;
 use super::folded::ObjectState;
+use super::record::ChainKey;
+use super::record::ChainSubject;
 use super::record::ChangeRecord;
+use crate::base::ids::SliceIndex;
 use crate::base::ids::Version;
+use crate::declarations::Declaration;
 
 /// How many verdicts the state keeps.
 pub const MAX_VERDICTS: usize = 1024;
@@ -42,6 +46,45 @@
         }
     }
 
+    /// Tells whether a declaration would map keys to other slices, or change who
+    /// may serve them, while the service has chains. Processes that have not
+    /// read it yet would serve the same keys as others.
+    pub fn moves_owned_keys(&self, declaration: &Declaration) -> bool {
+        let Declaration::Service(service) = declaration else {
+            return false;
+        };
+        let mut owned = self.slice_indices(&service.name).peekable();
+        if owned.peek().is_none() {
+            return false;
+        }
+        let current = self.objects.get(&declaration.key());
+        match current.and_then(|object| object.declaration.as_ref()) {
+            Some(Declaration::Service(current)) => {
+                current.slices != service.slices || current.division != service.division
+            }
+            // The service was deleted, and its chains still stand.
+            _ => usize::from(service.slices) != owned.count(),
+        }
+    }
+
+    /// Returns the indices of a service's slices that have chains.
+    fn slice_indices(&self, service: &str) -> impl Iterator<Item = SliceIndex> {
+        let first = ChainKey {
+            service: service.into(),
+            subject: ChainSubject::Slice(0),
+        };
+        let last = ChainKey {
+            service: service.into(),
+            subject: ChainSubject::Slice(SliceIndex::MAX),
+        };
+        self.chains
+            .range(first..=last)
+            .filter_map(|(key, _)| match key.subject {
+                ChainSubject::Slice(slice) => Some(slice),
+                ChainSubject::Key(_) | ChainSubject::Any => None,
+            })
+    }
+
     /// Tells whether the change made the object's current version already.
     fn made_version(&self, record: &ChangeRecord, version: Version) -> bool {
         let current = self.objects.get(&record.object);
@@ -71,6 +114,9 @@
         if declared.is_some_and(|declaration| declaration.key() != record.object) {
             return Err(IgnoreReason::WrongObject);
         }
+        if declared.is_some_and(|declaration| self.state.moves_owned_keys(declaration)) {
+            return Err(IgnoreReason::KeysOwned);
+        }
         let verdict = self.state.judge_change(record);
         if let ChangeVerdict::Accepted(version) = verdict
             && !self.state.made_version(record, version)
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -17,6 +17,7 @@
 use buckthornwinch::log::follower::start_follower;
 use buckthornwinch::log::writer::WriterSettings;
 use buckthornwinch::log::writer::start_writer;
+use buckthornwinch::operator::backend::BackendError;
 use buckthornwinch::operator::backend::SubmitVerdict;
 use buckthornwinch::state::folded::ChangeVerdict;
 use buckthornwinch::state::folded::FoldedState;
@@ -250,6 +251,24 @@
     );
 }
 
+#[tokio::test]
+async fn change_that_the_fold_ignores_hides_no_other_verdict() {
+    let log = FakeLog::new(1);
+    let process = start_process(&log, 1).await;
+    let mut wrong = change("wrong", "first", 0, rule(1, "x"));
+    wrong.object = rule(2, "x").key();
+    let sound = change("sound", "first", 0, rule(0, "x"));
+
+    let alone = process.clerk.submit(vec![wrong.clone()], LIMIT).await;
+    let changes = vec![wrong, sound];
+    let together = process.clerk.submit(changes, LIMIT).await.unwrap();
+
+    assert!(matches!(alone, Err(BackendError { .. })));
+    assert!(matches!(together[0], SubmitVerdict::Unknown(_)));
+    let accepted = ChangeVerdict::Accepted(1);
+    assert_eq!(together[1], SubmitVerdict::Settled(accepted));
+}
+
 #[tokio::test]
 async fn nothing_is_acknowledged_while_the_log_is_down() {
     let log = FakeLog::new(1);
--- a/tests/testsuite/fold.rs
+++ b/tests/testsuite/fold.rs
@@ -12,6 +12,7 @@
 use buckthornwinch::state::folded::FoldedState;
 use buckthornwinch::state::record::ChainAppend;
 use buckthornwinch::state::record::ChainKey;
+use buckthornwinch::state::record::ChangeRecord;
 use buckthornwinch::state::record::EndProof;
 use buckthornwinch::state::record::LapseCertificate;
 use buckthornwinch::state::record::LogBatch;
@@ -224,6 +225,35 @@
     assert_eq!(late, FoldEffect::Accepted);
 }
 
+#[test]
+fn slices_of_owned_keys_never_change() {
+    let mut state = fleet();
+    let free = fold_one(&mut state, 1, change("free", 1, service(8, 1)));
+    for index in 0..8 {
+        fold_one(&mut state, 1, assign(slice(index), 0, &[2]));
+    }
+
+    let owned = fold_one(&mut state, 1, change("owned", 2, service(4, 1)));
+    let other = fold_one(&mut state, 1, change("other", 2, service(8, 9)));
+    let gone = LogRecord::Change(Box::new(ChangeRecord {
+        change: "gone".into(),
+        operator: "operator-1".into(),
+        object: service(8, 1).key(),
+        base: 3,
+        declaration: None,
+    }));
+    let gone = fold_one(&mut state, 1, gone);
+    let smaller = fold_one(&mut state, 1, change("smaller", 4, service(4, 1)));
+    let same = fold_one(&mut state, 1, change("same", 4, service(8, 1)));
+
+    assert!(free.is_accepted());
+    assert_eq!(owned, FoldEffect::Ignored(IgnoreReason::KeysOwned));
+    assert!(other.is_accepted());
+    assert!(gone.is_accepted());
+    assert_eq!(smaller, FoldEffect::Ignored(IgnoreReason::KeysOwned));
+    assert!(same.is_accepted());
+}
+
 #[test]
 fn forgotten_change_is_never_made_again() {
     let mut state = fleet();
