ownership: record golden sessions of takeovers and pass certificates on less

Cause: the order of messages and decisions in a takeover was nowhere to be read. The first recording showed that every member that forms a certificate sent it to every other one: 680 members would exchange about 460,000 datagrams for one lost VM.

Change: only the witnesses whose statements make a certificate pass it on; everybody hears the statements themselves, which are repeated until the log shows the end. Golden sessions of a takeover with the log up, with the log down, from an upstream that checks no fences, and of a planned move with the log down.

--- a/src/ownership/machine.rs
+++ b/src/ownership/machine.rs
@@ -391,7 +391,11 @@
         }
         if let Some(certificate) = self.collector.certify(subject) {
             output.decide(OwnershipDecision::CertificateFormed(certificate.clone()));
-            output.broadcast(OwnershipMessage::Certified(certificate.clone()));
+            // Every member hears the statements, so only those who made them
+            // pass the certificate on to members that missed one.
+            if certificate.witnesses.contains(&self.incarnation) {
+                output.broadcast(OwnershipMessage::Certified(certificate.clone()));
+            }
             self.take_certificate(certificate, now, output);
         }
     }
--- /dev/null
+++ b/tests/testsuite/ownership_session.rs
@@ -0,0 +1,183 @@
+//! Golden sessions: every message and decision of a takeover, in order.
+
+use std::fmt::Write as _;
+
+use buckthornwinch::base::ids::Incarnation;
+use buckthornwinch::ownership::message::OwnershipMessage;
+use buckthornwinch::ownership::rules::SoundRules;
+use buckthornwinch::ownership::timing::LeaseTiming;
+use buckthornwinch::state::record::MemberInfo;
+use winch_test_support::fleet::FleetLog;
+use winch_test_support::fleet::incarnation;
+use winch_test_support::ownership_world::MessageEnvelope;
+use winch_test_support::ownership_world::OwnershipWorld;
+use winch_test_support::records::member_info;
+use winch_test_support::records::slice;
+
+const TICK: u64 = 50;
+
+/// One-way latency, in milliseconds.
+const LATENCY: u64 = 2;
+
+/// A fleet on a quiet network: node 2 owns slice 0, node 3 succeeds it, and
+/// nodes 4 and 5 witness both.
+struct QuietSession {
+    world: OwnershipWorld<SoundRules>,
+    flight: Vec<(u64, MessageEnvelope)>,
+    log_is_up: bool,
+    transcript: String,
+}
+
+impl QuietSession {
+    fn start(members: impl Iterator<Item = MemberInfo>) -> Self {
+        let mut log = FleetLog::with_members(members);
+        log.name_witnesses(2, &[3, 4, 5]);
+        log.name_witnesses(3, &[2, 4, 5]);
+        log.assign(&slice(0), &[2, 3]);
+        let members: Vec<Incarnation> = (2..=5).map(incarnation).collect();
+        Self {
+            world: OwnershipWorld::new(log, &members, LeaseTiming::default()),
+            flight: Vec::new(),
+            log_is_up: true,
+            transcript: String::new(),
+        }
+    }
+
+    /// Runs until `end`, a millisecond a step. Node n ticks n ms after the
+    /// full 50 ms.
+    fn run_until(&mut self, end: u64) {
+        while self.world.now < end {
+            self.world.now += 1;
+            let now = self.world.now;
+            let members: Vec<Incarnation> = self.world.processes.keys().copied().collect();
+            for member in members {
+                if now % TICK == member % 100 {
+                    if self.log_is_up {
+                        self.world.fold(member);
+                    }
+                    self.world.tick(member);
+                }
+                self.pass_on();
+            }
+            let flight = std::mem::take(&mut self.flight);
+            for (due, envelope) in flight {
+                if due > now {
+                    self.flight.push((due, envelope));
+                } else {
+                    self.world.deliver(envelope);
+                    self.pass_on();
+                }
+            }
+        }
+    }
+
+    fn kill(&mut self, member: Incarnation) {
+        self.world.processes.remove(&member);
+        self.note(&format!("{member:x} is killed"));
+    }
+
+    fn pass_on(&mut self) {
+        for (time, member, decision) in std::mem::take(&mut self.world.decisions) {
+            let _ = writeln!(
+                self.transcript,
+                "{time:>5} {member:x} ownership: {decision}"
+            );
+        }
+        for envelope in std::mem::take(&mut self.world.outbox) {
+            let MessageEnvelope { from, to, message } = &envelope;
+            let message = describe(message);
+            self.note(&format!("{from:x} -> {to:x} {message}"));
+            self.flight.push((self.world.now + LATENCY, envelope));
+        }
+        for (author, certificate) in std::mem::take(&mut self.world.appends) {
+            let subject = certificate.subject;
+            if self.log_is_up {
+                self.world.append_end(author, certificate);
+                self.note(&format!("{author:x} appends the end of {subject:x}"));
+            } else {
+                self.note(&format!("{author:x} cannot append the end of {subject:x}"));
+            }
+        }
+    }
+
+    fn note(&mut self, line: &str) {
+        let now = self.world.now;
+        let _ = writeln!(self.transcript, "{now:>5} {line}");
+    }
+}
+
+fn describe(message: &OwnershipMessage) -> String {
+    match message {
+        OwnershipMessage::Renew { number, active, .. } => {
+            format!("renew #{number}, resting on set {active}")
+        }
+        OwnershipMessage::Promise { number, .. } => format!("promise #{number}"),
+        OwnershipMessage::Refusal { .. } => "refusal".to_owned(),
+        OwnershipMessage::Lapsed { subject, .. } => format!("lapsed {subject:x}"),
+        OwnershipMessage::Certified(certificate) => format!("certified {:x}", certificate.subject),
+        OwnershipMessage::Resigned { positions, .. } => {
+            format!("resigned {} positions", positions.len())
+        }
+    }
+}
+
+fn fenced() -> impl Iterator<Item = MemberInfo> {
+    (1..=5).map(|node| member_info(node, incarnation(node)))
+}
+
+fn unfenced() -> impl Iterator<Item = MemberInfo> {
+    fenced().map(|mut info| {
+        info.upstream.checks_fence = false;
+        info
+    })
+}
+
+/// Kills the owner right after a renewal, the worst moment.
+fn takeover_session(members: impl Iterator<Item = MemberInfo>, log_is_up: bool) -> String {
+    let mut session = QuietSession::start(members);
+    session.run_until(410);
+    session.log_is_up = log_is_up;
+    session.kill(incarnation(2));
+    session.run_until(2_300);
+    session.transcript
+}
+
+fn without_renewals(transcript: &str) -> String {
+    let lines = transcript.lines();
+    lines
+        .filter(|line| !line.contains("renew #") && !line.contains("promise #"))
+        .fold(String::new(), |text, line| text + line + "\n")
+}
+
+#[test]
+fn takeover_with_the_log_up() {
+    let transcript = takeover_session(fenced(), true);
+
+    insta::assert_snapshot!(transcript);
+}
+
+#[test]
+fn takeover_with_the_log_down() {
+    let transcript = takeover_session(fenced(), false);
+
+    insta::assert_snapshot!(without_renewals(&transcript));
+}
+
+#[test]
+fn takeover_from_an_upstream_that_checks_no_fences() {
+    let transcript = takeover_session(unfenced(), true);
+
+    insta::assert_snapshot!(without_renewals(&transcript));
+}
+
+#[test]
+fn planned_move_with_the_log_down() {
+    let mut session = QuietSession::start(fenced());
+    session.run_until(410);
+    session.log_is_up = false;
+
+    session.world.resign(incarnation(2), &slice(0), false);
+    session.run_until(1_300);
+
+    insta::assert_snapshot!(without_renewals(&session.transcript));
+}
