--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,7 +1,10 @@
 //! The integration test program: one module per feature.
 
+mod admission_limit;
+mod admission_rates;
 mod admission_scheduler;
 mod bench_checks;
+mod codec;
 mod configuration;
 mod declarations;
 mod delivery;
@@ -11,6 +14,7 @@
 mod fold;
 mod log_client;
 mod model_check;
+mod log_sessions;
 mod operator_pages;
 mod outcome_table;
 mod outcomes;
@@ -21,6 +25,7 @@
 mod ownership_lease;
 mod ownership_session;
 mod ownership_succession;
+mod peer_state;
 mod ownership_walk;
 mod settings;
 mod snapshot;
