--- a/tests/testsuite/ownership_input.rs
+++ b/tests/testsuite/ownership_input.rs
@@ -1,5 +1,6 @@
 //! Datagrams from anywhere never stop a process or give it a lease.
 
+use buckthornwinch::node::datagrams::NodeDatagram;
 use buckthornwinch::ownership::machine::OwnershipMachine;
 use buckthornwinch::ownership::message::OwnershipMessage;
 use buckthornwinch::ownership::rules::SoundRules;
@@ -62,6 +63,36 @@
     ]
 }
 
+/// What a renewal and its answer may take, in bytes of payload.
+const RENEWAL_BYTES: usize = 32;
+
+#[test]
+fn renewals_and_promises_stay_small() {
+    let incarnation = 1 << 63;
+    let number = 10_000_000;
+    let renewal = OwnershipMessage::Renew {
+        holder: incarnation,
+        witness: incarnation,
+        set_version: 100,
+        active: 100,
+        number,
+    };
+    let promise = OwnershipMessage::Promise {
+        witness: incarnation,
+        holder: incarnation,
+        set_version: 100,
+        number,
+    };
+
+    let sizes = [renewal, promise].map(|message| {
+        let datagram = NodeDatagram::Ownership(message);
+        encode_datagram(&datagram).expect("an encoding").len()
+    });
+
+    println!("renewal and promise: {sizes:?} bytes");
+    assert!(sizes.iter().all(|size| *size <= RENEWAL_BYTES), "{sizes:?}");
+}
+
 proptest! {
     #[test]
     fn any_message_survives_its_encoding(message in any_message()) {
--- a/tests/testsuite/ownership_session.rs
+++ b/tests/testsuite/ownership_session.rs
@@ -181,3 +181,28 @@
 
     insta::assert_snapshot!(without_renewals(&session.transcript));
 }
+
+/// Returns how long slice 0 is without an owner after a kill, in milliseconds.
+fn unavailable_after_kill(killed_at: u64) -> u64 {
+    let mut session = QuietSession::start(fenced());
+    session.run_until(killed_at);
+    session.log_is_up = false;
+    session.kill(incarnation(2));
+    while session.world.owners(&slice(0)).is_empty() {
+        session.run_until(session.world.now + 1);
+    }
+    session.world.now - killed_at
+}
+
+#[test]
+fn a_takeover_takes_a_lease_and_a_tick_at_most() {
+    let bound = 700 + TICK + 2 * LATENCY;
+
+    let times: Vec<u64> = (400..600).map(unavailable_after_kill).collect();
+
+    let worst = times.iter().max().copied().unwrap_or(0);
+    let best = times.iter().min().copied().unwrap_or(0);
+    let mean = times.iter().sum::<u64>() / times.len() as u64;
+    println!("unavailable: best {best} ms, mean {mean} ms, worst {worst} ms");
+    assert!(worst <= bound, "{worst} ms");
+}
