--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -31,4 +31,6 @@
 mod snapshot;
 mod standins;
 mod telemetry;
+mod transport_frames;
+mod transport_link;
 mod winchctl;
