--- a/src/bin/winchctl/commands/mod.rs
+++ b/src/bin/winchctl/commands/mod.rs
@@ -31,7 +31,7 @@
     /// Show declared objects
     Get(get::GetArgs),
     /// Show members, services and priority classes
-    Status,
+    Status(status::StatusArgs),
     /// Show where the requests of a key go, and why
     Explain(explain::ExplainArgs),
     /// Drain a node: its slices move away and it gets no new ones
@@ -51,7 +51,7 @@
         Command::Apply(args) => apply::exec(shared, args).await,
         Command::Ask(args) => ask::exec(shared, args).await,
         Command::Get(args) => get::exec(shared, args).await,
-        Command::Status => status::exec(shared).await,
+        Command::Status(args) => status::exec(shared, args).await,
         Command::Explain(args) => explain::exec(shared, args).await,
         Command::Drain(args) => drain::exec(shared, args).await,
         Command::DeclareLost(args) => declare_lost::exec(shared, args).await,
--- a/src/bin/winchctl/commands/status.rs
+++ b/src/bin/winchctl/commands/status.rs
@@ -1,12 +1,25 @@
 //! `winchctl status`: shows the state of the fleet.
 
 use buckthornwinch::operator::client::ExitKind;
+use buckthornwinch::operator::client::status::StatusOptions;
 use buckthornwinch::operator::client::status::status;
+use clap::Args;
 
 use crate::cli::SharedArgs;
 
+/// Arguments of `winchctl status`.
+#[derive(Debug)]
+#[derive(Args)]
+pub struct StatusArgs {
+    /// Ask every member for its figures; counts are summed, and of percentiles
+    /// and times the greatest is shown
+    #[arg(long)]
+    all: bool,
+}
+
 /// Shows the state of the fleet, as one process knows it.
-pub async fn exec(shared: &SharedArgs) -> eyre::Result<ExitKind> {
-    let report = status(&shared.connect().await?).await?;
+pub async fn exec(shared: &SharedArgs, args: StatusArgs) -> eyre::Result<ExitKind> {
+    let options = StatusOptions { all: args.all };
+    let report = status(&shared.connect().await?, &options).await?;
     Ok(shared.print(&report))
 }
--- a/src/operator/client/drain.rs
+++ b/src/operator/client/drain.rs
@@ -28,7 +28,7 @@
     node: Box<str>,
     incarnation: Incarnation,
     verdict: api::Verdict,
-    detail: String,
+    detail: Box<str>,
     done: &'static str,
 }
 
@@ -46,7 +46,7 @@
         node: node.into(),
         incarnation: response.incarnation,
         verdict: response.verdict(),
-        detail: response.detail,
+        detail: response.detail.into(),
         done: "draining",
     })
 }
@@ -70,7 +70,7 @@
         node: options.node.clone(),
         incarnation: response.incarnation,
         verdict: response.verdict(),
-        detail: response.detail,
+        detail: response.detail.into(),
         done: "declared lost",
     })
 }
--- a/src/operator/client/mod.rs
+++ b/src/operator/client/mod.rs
@@ -11,6 +11,7 @@
 pub mod diff;
 pub mod drain;
 pub mod explain;
+pub mod fleet;
 pub mod get;
 pub mod plan;
 pub mod report;
--- a/src/operator/client/plan.rs
+++ b/src/operator/client/plan.rs
@@ -61,7 +61,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FieldDifference {
     /// Path of the field.
-    pub path: String,
+    pub path: Box<str>,
     /// Its value in force.
     pub before: Option<Box<str>>,
     /// Its value in the files.
@@ -165,7 +165,7 @@
 impl PlannedChange {
     /// Lists the fields that differ.
     pub fn differences(&self) -> Vec<FieldDifference> {
-        let mut fields: BTreeMap<String, FieldDifference> = BTreeMap::new();
+        let mut fields: BTreeMap<Box<str>, FieldDifference> = BTreeMap::new();
         for (path, value) in leaves(self.before.as_ref()) {
             field_of(&mut fields, path).before = Some(value);
         }
@@ -179,7 +179,10 @@
     }
 }
 
-fn field_of(fields: &mut BTreeMap<String, FieldDifference>, path: String) -> &mut FieldDifference {
+fn field_of(
+    fields: &mut BTreeMap<Box<str>, FieldDifference>,
+    path: Box<str>,
+) -> &mut FieldDifference {
     fields.entry(path.clone()).or_insert(FieldDifference {
         path,
         before: None,
@@ -187,7 +190,7 @@
     })
 }
 
-fn leaves(declaration: Option<&Declaration>) -> Vec<(String, Box<str>)> {
+fn leaves(declaration: Option<&Declaration>) -> Vec<(Box<str>, Box<str>)> {
     let document = declaration.map(write_declaration);
     let spec = document.as_ref().and_then(|document| document.get("spec"));
     let Some(Value::Mapping(fields)) = spec else {
@@ -195,6 +198,8 @@
     };
     fields
         .iter()
-        .filter_map(|(name, value)| Some((format!("spec.{}", name.as_str()?), excerpt(value))))
+        .filter_map(|(name, value)| {
+            Some((format!("spec.{}", name.as_str()?).into(), excerpt(value)))
+        })
         .collect()
 }
--- a/src/operator/client/status.rs
+++ b/src/operator/client/status.rs
@@ -1,27 +1,75 @@
 //! Shows the state of the fleet.
 
+use std::time::Duration;
+
 use serde_json::Value;
 use serde_json::json;
 use winch_operator_api as api;
 
 use super::context::ClientContext;
+use super::context::ConnectOptions;
 use super::context::call_error;
+use super::fleet::FleetFigures;
 use super::report::OperationReport;
 use super::report::write_incarnation;
 use super::report::write_table;
 
+/// How long one member may take to tell its figures.
+const MEMBER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Whose figures are shown.
+#[derive(Debug, Clone, Default)]
+pub struct StatusOptions {
+    /// Whether every member is asked for its figures.
+    pub all: bool,
+}
+
 /// The state of the fleet, as one process knows it.
 #[derive(Debug, Clone)]
 pub struct StatusReport {
     status: api::StatusResponse,
+    figures: FleetFigures,
 }
 
 /// Fetches the state of the fleet.
-pub async fn status(context: &ClientContext) -> eyre::Result<StatusReport> {
+///
+/// A member that cannot be asked for its figures is named in the report.
+pub async fn status(
+    context: &ClientContext,
+    options: &StatusOptions,
+) -> eyre::Result<StatusReport> {
+    let status = fetch_status(context).await?;
+    let mut figures = FleetFigures::new(&status);
+    if options.all {
+        let others = status
+            .members
+            .iter()
+            .filter(|member| member.incarnation != status.incarnation);
+        for member in others {
+            match ask_member(context, member).await {
+                Ok(other) => figures.add(&other),
+                Err(_unreachable) => figures.silent.push(member.node.as_str().into()),
+            }
+        }
+    }
+    Ok(StatusReport { status, figures })
+}
+
+async fn fetch_status(context: &ClientContext) -> eyre::Result<api::StatusResponse> {
     let response = context.calls.clone().status(api::StatusRequest {}).await;
-    Ok(StatusReport {
-        status: response.map_err(call_error)?.into_inner(),
-    })
+    Ok(response.map_err(call_error)?.into_inner())
+}
+
+async fn ask_member(
+    context: &ClientContext,
+    member: &api::MemberStatus,
+) -> eyre::Result<api::StatusResponse> {
+    let options = ConnectOptions::builder()
+        .servers(vec![member.operator_address.as_str().into()])
+        .operator(context.operator.clone())
+        .timeout(MEMBER_TIMEOUT)
+        .build();
+    fetch_status(&ClientContext::connect(&options).await?).await
 }
 
 fn member_state(member: &api::MemberStatus) -> &'static str {
@@ -112,21 +160,30 @@
     )
 }
 
-fn write_own_figures(status: &api::StatusResponse) -> String {
-    let node = &status.node;
-    let upstream = format!(
-        "{node} as owner: {} of at most {} requests run, {} wait",
-        status.running, status.limit, status.waiting
-    );
-    let entry = format!(
-        "{node} as entry: {:.1} s in which requests found no owner, {} wait for one now",
-        status.unavailable_seconds, status.stalled
-    );
-    let churn = format!(
-        "since {node} joined: {} chains moved, {} of them to it",
-        status.chain_moves, status.takeovers
-    );
-    [upstream, entry, churn].join("\n")
+fn write_figures(figures: &FleetFigures) -> String {
+    let of = match figures.nodes.as_slice() {
+        [node] => format!("figures of {node}"),
+        nodes => format!("figures of {} nodes", nodes.len()),
+    };
+    let mut lines = vec![
+        of,
+        format!(
+            "as owners: {} of at most {} requests run, {} wait",
+            figures.running, figures.limit, figures.waiting
+        ),
+        format!(
+            "as entries: at most {:.1} s in which requests found no owner, {} wait for one now",
+            figures.unavailable_seconds, figures.stalled
+        ),
+        format!(
+            "churn: {} chains moved, {} of them to these nodes",
+            figures.chain_moves, figures.takeovers
+        ),
+    ];
+    if !figures.silent.is_empty() {
+        lines.push(format!("without answer: {}", figures.silent.join(", ")));
+    }
+    lines.join("\n")
 }
 
 impl OperationReport for StatusReport {
@@ -142,8 +199,8 @@
         )];
         parts.push(write_members(&status.members));
         parts.push(write_services(&status.services));
-        parts.push(write_classes(&status.classes));
-        parts.push(write_own_figures(status));
+        parts.push(write_classes(&self.figures.classes));
+        parts.push(write_figures(&self.figures));
         parts.join("\n\n")
     }
 
@@ -157,14 +214,7 @@
             "planner": status.planner,
             "members": status.members.iter().map(member_json).collect::<Vec<Value>>(),
             "services": status.services.iter().map(service_json).collect::<Vec<Value>>(),
-            "classes": status.classes.iter().map(class_json).collect::<Vec<Value>>(),
-            "chain_moves": status.chain_moves,
-            "takeovers": status.takeovers,
-            "running": status.running,
-            "waiting": status.waiting,
-            "limit": status.limit,
-            "unavailable_seconds": status.unavailable_seconds,
-            "stalled": status.stalled,
+            "figures": figures_json(&self.figures),
         })
     }
 }
@@ -195,6 +245,21 @@
     })
 }
 
+fn figures_json(figures: &FleetFigures) -> Value {
+    json!({
+        "nodes": figures.nodes,
+        "silent": figures.silent,
+        "classes": figures.classes.iter().map(class_json).collect::<Vec<Value>>(),
+        "chain_moves": figures.chain_moves,
+        "takeovers": figures.takeovers,
+        "running": figures.running,
+        "waiting": figures.waiting,
+        "limit": figures.limit,
+        "unavailable_seconds": figures.unavailable_seconds,
+        "stalled": figures.stalled,
+    })
+}
+
 fn class_json(class: &api::ClassStatus) -> Value {
     json!({
         "name": class.name,
--- a/tests/testsuite/winchctl.rs
+++ b/tests/testsuite/winchctl.rs
@@ -7,12 +7,15 @@
 use buckthornwinch::base::ids::Incarnation;
 use buckthornwinch::declarations::ObjectKey;
 use buckthornwinch::declarations::ObjectKind;
+use buckthornwinch::operator::client::fleet::FleetFigures;
 use buckthornwinch::operator::serve;
 use buckthornwinch::state::record::ChangeRecord;
 use buckthornwinch::state::record::MemberInfo;
 use tokio::net::TcpListener;
 use tokio::process::Command;
 use tokio_util::sync::CancellationToken;
+use winch_operator_api::ClassStatus;
+use winch_operator_api::StatusResponse;
 use winch_test_support::fake_backend::BackendFault;
 use winch_test_support::fake_backend::FakeBackend;
 use winch_test_support::records::member_info;
@@ -40,6 +43,7 @@
     info.domain = domain.into();
     info.region = "yeongnam".into();
     info.upstream.service = "catalogue".into();
+    info.operator_address = SocketAddr::from(([127, 0, 0, 1], number + 1));
     info
 }
 
@@ -209,6 +213,7 @@
         .run("declare-lost catalogue-3 --incarnation 103")
         .await;
     session.run("status --output json").await;
+    session.run("status --all").await;
     session.run("explain catalogue 4711").await;
 
     insta::assert_snapshot!(session.finish());
@@ -288,3 +293,42 @@
 
     insta::assert_snapshot!(session.finish());
 }
+
+#[test]
+fn figures_of_several_processes_are_joined() {
+    let class = |name: &str, rank, answered, p99_seconds| ClassStatus {
+        name: name.to_owned(),
+        rank,
+        answered,
+        p99_seconds,
+        ..ClassStatus::default()
+    };
+    let first = StatusResponse {
+        node: "catalogue-1".to_owned(),
+        chain_moves: 5,
+        takeovers: 2,
+        unavailable_seconds: 0.3,
+        stalled: 1,
+        classes: vec![class("orders", 2, 7, 0.5)],
+        ..StatusResponse::default()
+    };
+    let second = StatusResponse {
+        node: "catalogue-2".to_owned(),
+        chain_moves: 4,
+        takeovers: 3,
+        unavailable_seconds: 0.2,
+        stalled: 2,
+        classes: vec![class("checks", 0, 1, 0.1), class("orders", 2, 8, 0.25)],
+        ..StatusResponse::default()
+    };
+
+    let mut figures = FleetFigures::new(&first);
+    figures.add(&second);
+
+    assert_eq!(figures.chain_moves, 5);
+    assert_eq!(figures.takeovers, 5);
+    assert_eq!(figures.stalled, 3);
+    assert!((figures.unavailable_seconds - 0.3).abs() < 1e-9);
+    let joined = [class("checks", 0, 1, 0.1), class("orders", 2, 15, 0.5)];
+    assert_eq!(figures.classes, joined);
+}
