--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -29,5 +29,7 @@
 mod snapshot;
 mod standins;
 mod telemetry;
+mod transport_frames;
+mod transport_link;
 mod winchctl;
 mod winchd_command;
