--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -37,3 +37,4 @@
 mod transport_frames;
 mod transport_link;
 mod winchctl;
+mod winchd_command;
