--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod admission_limit;
 mod admission_rates;
 mod admission_scheduler;
+mod admission_sessions;
 mod bench_checks;
 mod codec;
 mod configuration;
@@ -36,5 +37,6 @@
 mod telemetry;
 mod transport_frames;
 mod transport_link;
+mod upstream_http;
 mod winchctl;
 mod winchd_command;
