bench, node: add quickstart, and let a node run as a task

A node's future held the guard of a watch channel across an await and could not be spawned; it now takes the cause out first. The settings of a fleet's nodes come from the product's own types in place of a copy.

--- a/crates/winch-bench/src/commands/mod.rs
+++ b/crates/winch-bench/src/commands/mod.rs
@@ -1,4 +1,5 @@
 //! The subcommands, one module each.
 
 pub mod list;
+pub mod quickstart;
 pub mod run;
--- a/crates/winch-bench/src/experiments/freeze.rs
+++ b/crates/winch-bench/src/experiments/freeze.rs
@@ -11,6 +11,7 @@
 use super::support::add_promises;
 use super::support::declarations;
 use super::support::merge_promises;
+use super::support::service_keys;
 use super::support::start_fleet;
 use super::support::warm_up;
 use crate::fleet::deployment::WorkKind;
@@ -65,7 +66,13 @@
     let mut load = LoadOutcome::default();
 
     for pause in PAUSES {
-        let owners = warm_up(&service, &fleet.entries(), &mut records).await?;
+        let owners = warm_up(
+            &service,
+            service_keys(&service),
+            &fleet.entries(),
+            &mut records,
+        )
+        .await?;
         let victim = ProbedNode::draw(&fleet, &service, &owners, &mut random)?;
         let duration = TIME_BEFORE + pause + TIME_AFTER;
         let name = format!("{label}-{}ms", pause.as_millis());
--- a/crates/winch-bench/src/experiments/mod.rs
+++ b/crates/winch-bench/src/experiments/mod.rs
@@ -6,6 +6,7 @@
 mod log_trouble;
 mod orders;
 mod probe;
+pub mod quickstart;
 mod steady;
 mod support;
 mod takeover;
--- a/crates/winch-bench/src/experiments/support.rs
+++ b/crates/winch-bench/src/experiments/support.rs
@@ -76,6 +76,7 @@
 /// records are added to `records`.
 pub(super) async fn warm_up(
     service: &ServiceSize,
+    keys: Arc<[Box<str>]>,
     entries: &Arc<[SocketAddr]>,
     records: &mut Vec<RequestRecord>,
 ) -> eyre::Result<OwnerMap> {
@@ -85,7 +86,7 @@
         .class(service.class)
         .rate(0.0)
         .target(TrafficTarget::Entries(Arc::clone(entries)))
-        .keys(service_keys(service))
+        .keys(keys)
         .duration(Duration::ZERO)
         .ordered_once(service.kind == WorkKind::Order)
         .patience(PROBE_PATIENCE)
@@ -130,7 +131,7 @@
     let mut services: Vec<&ServiceSize> = fleet.nodes.iter().map(|node| &node.service).collect();
     services.dedup_by_key(|service| service.name);
     for service in services {
-        owners.append(&mut warm_up(service, &entries, records).await?);
+        owners.append(&mut warm_up(service, service_keys(service), &entries, records).await?);
     }
     Ok(owners)
 }
--- a/crates/winch-bench/src/experiments/takeover.rs
+++ b/crates/winch-bench/src/experiments/takeover.rs
@@ -11,6 +11,7 @@
 use super::probe::ProbedNode;
 use super::support::add_promises;
 use super::support::declarations;
+use super::support::service_keys;
 use super::support::start_fleet;
 use super::support::warm_up;
 use crate::fleet::deployment::WorkKind;
@@ -61,7 +62,13 @@
     let mut all_times = UnavailableTimes::default();
 
     for round in 0..ROUNDS {
-        let owners = warm_up(&service, &fleet.entries(), &mut records).await?;
+        let owners = warm_up(
+            &service,
+            service_keys(&service),
+            &fleet.entries(),
+            &mut records,
+        )
+        .await?;
         let victim = ProbedNode::draw(&fleet, &service, &owners, &mut random)?;
         set_log(&fleet, condition == LogCondition::Down).await?;
         let entries = fleet.entries_except(victim.index);
--- a/crates/winch-bench/src/fleet/apply.rs
+++ b/crates/winch-bench/src/fleet/apply.rs
@@ -1,7 +1,6 @@
 //! Applies declarations through the operators' interface of a `winchd`.
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::time::Duration;
 
 use buckthornwinch::declarations::set::DeclarationSet;
@@ -20,13 +19,12 @@
 const APPLY_LIMIT: Duration = Duration::from_secs(30);
 const APPLY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Creates every object that a directory declares.
+/// Creates every declared object.
 ///
 /// # Errors
 ///
 /// When one is not accepted in time.
-pub async fn create_declarations(address: SocketAddr, directory: &Path) -> eyre::Result<()> {
-    let set = DeclarationSet::load(&[directory.to_owned()])?;
+pub async fn create_declarations(address: SocketAddr, set: &DeclarationSet) -> eyre::Result<()> {
     let changes: Vec<Change> = set
         .placed
         .iter()
--- a/crates/winch-bench/src/fleet/harness.rs
+++ b/crates/winch-bench/src/fleet/harness.rs
@@ -8,6 +8,9 @@
 use std::time::Duration;
 
 use bon::Builder;
+use buckthornwinch::declarations::set::DeclarationSet;
+use buckthornwinch::settings::AddressSettings;
+use buckthornwinch::settings::LogLevel;
 use eyre::WrapErr;
 use eyre::bail;
 use eyre::eyre;
@@ -28,10 +31,9 @@
 use super::process::ChildProcess;
 use super::process::ProcessCommand;
 use super::process::sibling_program;
-use super::settings::LogAddress;
-use super::settings::NodeAddresses;
-use super::settings::NodeLogging;
-use super::settings::NodeSettingsFile;
+use super::settings::NodePlan;
+use super::settings::plan_nodes;
+use super::settings::write_settings;
 
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const READY_POLL: Duration = Duration::from_millis(50);
@@ -66,8 +68,8 @@
     #[builder(default = 400)]
     pub log_rate: u32,
     /// Level of the nodes' logs.
-    #[builder(default = "info")]
-    pub log_level: &'static str,
+    #[builder(default = LogLevel::Info)]
+    pub log_level: LogLevel,
 }
 
 /// A `winchd` and the upstream beside it.
@@ -80,7 +82,7 @@
     /// Its upstream's service.
     pub service: ServiceSize,
     /// Where the `winchd` listens.
-    pub addresses: NodeAddresses,
+    pub addresses: AddressSettings,
     /// Where the upstream listens.
     pub upstream_address: SocketAddr,
     /// The `winchd`.
@@ -142,52 +144,19 @@
     }
 
     fn start_nodes(&mut self) -> eyre::Result<()> {
-        let deployment = self.options.deployment.clone();
-        let mut plans = Vec::new();
-        for service in &deployment.services {
-            for number in 1..=service.endpoints {
-                plans.push((format!("{}-{number}", service.name), service));
-            }
-        }
-        let addresses: Vec<NodeAddresses> = plans
-            .iter()
-            .map(|_| node_addresses())
-            .collect::<eyre::Result<_>>()?;
-        for (index, (name, service)) in plans.into_iter().enumerate() {
-            let domain = deployment.domains[index % deployment.domains.len()];
-            let peers = addresses
-                .iter()
-                .map(|other| other.peers)
-                .filter(|peer| *peer != addresses[index].peers)
-                .collect();
-            let settings = NodeSettingsFile {
-                node: name.clone().into(),
-                region: deployment.region.into(),
-                failure_domain: domain.into(),
-                addresses: addresses[index],
-                peers,
-                log: LogAddress {
-                    address: format!("http://{}", self.log_address).into(),
-                },
-                logging: NodeLogging {
-                    level: self.options.log_level,
-                },
-            };
-            let node = self.start_node(&settings, domain, service)?;
+        let options = &self.options;
+        for plan in plan_nodes(&options.deployment, self.log_address, options.log_level)? {
+            let node = self.start_node(plan)?;
             self.nodes.push(node);
         }
         Ok(())
     }
 
-    fn start_node(
-        &self,
-        settings: &NodeSettingsFile,
-        domain: &'static str,
-        service: &ServiceSize,
-    ) -> eyre::Result<FleetNode> {
+    fn start_node(&self, plan: NodePlan) -> eyre::Result<FleetNode> {
         let directory = self.directory.path();
+        let settings = plan.settings;
         let settings_path = directory.join(format!("{}.yaml", settings.node));
-        settings.write(&settings_path)?;
+        write_settings(&settings, &settings_path)?;
         let winchd = ChildProcess::start(ProcessCommand {
             name: format!("winchd-{}", settings.node).into(),
             program: sibling_program("winchd")?,
@@ -201,7 +170,7 @@
             program: sibling_program("winch-standin")?,
             arguments: upstream_arguments(
                 &self.options,
-                service,
+                &plan.service,
                 upstream_address,
                 settings.addresses.local,
                 &ledger_file,
@@ -209,9 +178,9 @@
             output_directory: directory.to_owned(),
         })?;
         Ok(FleetNode {
-            name: settings.node.clone(),
-            domain,
-            service: service.clone(),
+            name: settings.node,
+            domain: plan.domain,
+            service: plan.service,
             addresses: settings.addresses,
             upstream_address,
             winchd,
@@ -282,7 +251,8 @@
             .nodes
             .first()
             .ok_or_else(|| eyre!("the fleet is empty"))?;
-        create_declarations(node.addresses.operators, &self.options.declarations).await
+        let set = DeclarationSet::load(std::slice::from_ref(&self.options.declarations))?;
+        create_declarations(node.addresses.operators, &set).await
     }
 
     /// Returns the callers' addresses of every node.
@@ -400,15 +370,6 @@
     }
 }
 
-fn node_addresses() -> eyre::Result<NodeAddresses> {
-    Ok(NodeAddresses {
-        callers: free_address()?,
-        peers: free_address()?,
-        operators: free_address()?,
-        local: free_address()?,
-    })
-}
-
 fn start_log(directory: &Path, address: SocketAddr, rate: u32) -> eyre::Result<ChildProcess> {
     ChildProcess::start(ProcessCommand {
         name: "log".into(),
--- a/crates/winch-bench/src/fleet/settings.rs
+++ b/crates/winch-bench/src/fleet/settings.rs
@@ -1,69 +1,93 @@
-//! Writes a node's settings.
+//! Settings of a deployment's nodes.
 
 use std::net::SocketAddr;
 use std::path::Path;
 
+use buckthornwinch::settings::AddressSettings;
+use buckthornwinch::settings::LogLevel;
+use buckthornwinch::settings::LogSettings;
+use buckthornwinch::settings::LoggingSettings;
+use buckthornwinch::settings::NodeSettings;
 use eyre::WrapErr;
-use serde::Serialize;
 
-/// Where a node listens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize)]
-pub struct NodeAddresses {
-    /// Callers' HTTP.
-    pub callers: SocketAddr,
-    /// Frames and datagrams of other processes.
-    pub peers: SocketAddr,
-    /// Operators' calls.
-    pub operators: SocketAddr,
-    /// The upstream's announcements, health and metrics.
-    pub local: SocketAddr,
-}
-
-/// The log's settings.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize)]
-pub struct LogAddress {
-    /// Base URL.
-    pub address: Box<str>,
-}
+use super::deployment::DeploymentSize;
+use super::deployment::ServiceSize;
+use super::ports::free_address;
 
-/// Logging of a node.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize)]
-pub struct NodeLogging {
-    /// Least severe level.
-    pub level: &'static str,
+/// One node of a deployment, before it is started.
+#[derive(Debug, Clone)]
+pub struct NodePlan {
+    /// Its upstream's service.
+    pub service: ServiceSize,
+    /// Its failure domain.
+    pub domain: &'static str,
+    /// Its settings.
+    pub settings: NodeSettings,
 }
 
-/// The settings that an experiment gives; the rest are defaults.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize)]
-pub struct NodeSettingsFile {
-    /// Name of the node.
-    pub node: Box<str>,
-    /// Region.
-    pub region: Box<str>,
-    /// Failure domain.
-    pub failure_domain: Box<str>,
-    /// Where it listens.
-    pub addresses: NodeAddresses,
-    /// Processes to ask for the folded state.
-    pub peers: Vec<SocketAddr>,
-    /// The log.
-    pub log: LogAddress,
-    /// Logging.
-    pub logging: NodeLogging,
+/// Plans a node beside each endpoint of a deployment, on free ports.
+///
+/// # Errors
+///
+/// When no port is left.
+pub fn plan_nodes(
+    deployment: &DeploymentSize,
+    log_address: SocketAddr,
+    log_level: LogLevel,
+) -> eyre::Result<Vec<NodePlan>> {
+    let mut endpoints = Vec::new();
+    for service in &deployment.services {
+        for number in 1..=service.endpoints {
+            let addresses = AddressSettings {
+                callers: free_address()?,
+                peers: free_address()?,
+                operators: free_address()?,
+                local: free_address()?,
+            };
+            endpoints.push((format!("{}-{number}", service.name), service, addresses));
+        }
+    }
+    let peers: Vec<SocketAddr> = endpoints
+        .iter()
+        .map(|(_, _, addresses)| addresses.peers)
+        .collect();
+    let plans = endpoints.into_iter().enumerate();
+    Ok(plans
+        .map(|(index, (name, service, addresses))| {
+            let domain = deployment.domains[index % deployment.domains.len()];
+            let other_peers = peers.iter().copied();
+            let own_peer = addresses.peers;
+            let settings = NodeSettings::builder()
+                .node(name)
+                .region(deployment.region)
+                .failure_domain(domain)
+                .addresses(addresses)
+                .peers(other_peers.filter(|peer| *peer != own_peer).collect())
+                .log(
+                    LogSettings::builder()
+                        .address(format!("http://{log_address}"))
+                        .build(),
+                )
+                .logging(LoggingSettings {
+                    level: log_level,
+                    ..LoggingSettings::default()
+                })
+                .build();
+            NodePlan {
+                service: service.clone(),
+                domain,
+                settings,
+            }
+        })
+        .collect())
 }
 
-impl NodeSettingsFile {
-    /// Writes the settings.
-    ///
-    /// # Errors
-    ///
-    /// When the file cannot be written.
-    pub fn write(&self, path: &Path) -> eyre::Result<()> {
-        let text = serde_norway::to_string(self).wrap_err("cannot encode the settings")?;
-        std::fs::write(path, text).wrap_err_with(|| format!("cannot write {}", path.display()))
-    }
+/// Writes a settings file.
+///
+/// # Errors
+///
+/// When the file cannot be written.
+pub fn write_settings(settings: &NodeSettings, path: &Path) -> eyre::Result<()> {
+    let text = serde_norway::to_string(settings).wrap_err("cannot encode the settings")?;
+    std::fs::write(path, text).wrap_err_with(|| format!("cannot write {}", path.display()))
 }
--- a/crates/winch-bench/src/main.rs
+++ b/crates/winch-bench/src/main.rs
@@ -8,6 +8,7 @@
 use clap::Subcommand;
 
 use commands::list;
+use commands::quickstart;
 use commands::run;
 
 /// Load and failure experiments against real processes.
@@ -22,6 +23,8 @@
 #[derive(Debug)]
 #[derive(Subcommand)]
 enum BenchCommand {
+    /// Runs a fleet in this process and shows what it does with mixed traffic.
+    Quickstart(quickstart::QuickstartArgs),
     /// Names the experiments.
     List(list::ListArgs),
     /// Runs an experiment, or all of them.
@@ -31,6 +34,7 @@
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
     match BenchArgs::parse().command {
+        BenchCommand::Quickstart(args) => quickstart::exec(args).await,
         BenchCommand::List(args) => Ok(list::exec(&args)),
         BenchCommand::Run(args) => run::exec(args).await,
     }
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -400,10 +400,12 @@
     /// Runs until the incarnation has ended or left.
     async fn run(self, leave: &CancellationToken) {
         let mut inputs = self.inputs.clone();
-        let ended = inputs.wait_for(|inputs| inputs.view.end_cause.is_some());
+        let ended = async {
+            let ended = inputs.wait_for(|inputs| inputs.view.end_cause.is_some());
+            ended.await.ok().and_then(|inputs| inputs.view.end_cause)
+        };
         tokio::select! {
-            ended = ended => {
-                let cause = ended.ok().and_then(|inputs| inputs.view.end_cause);
+            cause = ended => {
                 log::warn!("node: {:x} has ended: {cause:?}", self.own);
             }
             () = self.clerk.follow_upstream(self.registry.subscribe()) => {
