--- a/crates/winch-test-support/src/lib.rs
+++ b/crates/winch-test-support/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod fleet;
 pub mod naive_scheduler;
 pub mod owner;
+pub mod ownership_world;
 pub mod records;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,7 +1,10 @@
 //! The integration test program: one module per feature.
 
+mod admission_limit;
+mod admission_rates;
 mod admission_scheduler;
 mod bench_checks;
+mod codec;
 mod configuration;
 mod declarations;
 mod delivery;
@@ -10,6 +13,8 @@
 mod figures;
 mod fold;
 mod log_client;
+mod log_sessions;
+mod model_check;
 mod operator_pages;
 mod outcome_table;
 mod outcomes;
@@ -18,6 +23,8 @@
 mod ownership_gate;
 mod ownership_lease;
 mod ownership_succession;
+mod ownership_walk;
+mod peer_state;
 mod settings;
 mod snapshot;
 mod standins;
