--- a/tests/testsuite/hotkeys.rs
+++ b/tests/testsuite/hotkeys.rs
@@ -79,8 +79,8 @@
 
     let moves = board.choose_moves("catalogue", &[1, 2, 3]);
 
-    let moved: Vec<(u64, u64)> = moves.iter().map(|it| (it.key.key, it.owner)).collect();
-    assert_eq!(moved[0], (7, 3));
+    let chosen: Vec<(u64, u64)> = moves.iter().map(|it| (it.key.key, it.owner)).collect();
+    assert_eq!(chosen[0], (7, 3));
 }
 
 #[test]
