log: split what exceeds a batch

Cause: an append above 256 KiB was refused for good, and at the design size the planner's first plan (16,384 chains, about 0.8 MB) and the resignations of a process that owns them all exceed it.

Change: the writer splits the records of one call into several batches, in order; resignations go in records of 1,024 positions. The same function groups operators' changes.

--- a/src/configuration/clerk.rs
+++ b/src/configuration/clerk.rs
@@ -10,6 +10,7 @@
 use crate::log::batch::AppendError;
 use crate::log::follower::FollowerHandle;
 use crate::log::service::LogService;
+use crate::log::split::group_by_size;
 use crate::log::writer::WriterHandle;
 use crate::operator::backend::BackendError;
 use crate::operator::backend::SubmitVerdict;
@@ -55,7 +56,7 @@
     ) -> Result<Vec<SubmitVerdict>, BackendError> {
         let deadline = Instant::now() + limit;
         let mut verdicts = Vec::with_capacity(changes.len());
-        for group in group_by_size(changes) {
+        for group in group_by_size(changes, APPEND_BYTES) {
             match self.submit_group(&group, deadline).await {
                 Ok(settled) => verdicts.extend(settled),
                 Err(error) if verdicts.is_empty() => return Err(error),
@@ -139,21 +140,3 @@
 fn unknown(detail: &str) -> SubmitVerdict {
     SubmitVerdict::Unknown(detail.into())
 }
-
-/// Splits changes into groups that each fit into one append.
-fn group_by_size(changes: Vec<ChangeRecord>) -> Vec<Vec<ChangeRecord>> {
-    let mut groups: Vec<Vec<ChangeRecord>> = Vec::new();
-    let mut size = usize::MAX;
-    for change in changes {
-        let bytes = postcard::to_allocvec(&change).map_or(0, |encoded| encoded.len());
-        size = size.saturating_add(bytes);
-        match groups.last_mut() {
-            Some(group) if size <= APPEND_BYTES => group.push(change),
-            _ => {
-                groups.push(vec![change]);
-                size = bytes;
-            }
-        }
-    }
-    groups
-}
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -25,4 +25,5 @@
 pub mod service;
 pub mod snapshot_keeper;
 pub mod snapshots;
+pub mod split;
 pub mod writer;
--- a/src/log/writer.rs
+++ b/src/log/writer.rs
@@ -29,6 +29,8 @@
 use super::follower::FollowerHandle;
 use super::rate::RateBucket;
 use super::service::LogService;
+use super::split::encoded_size;
+use super::split::group_by_size;
 use crate::base::ids::Incarnation;
 use crate::base::ids::Sequence;
 use crate::state::codec::MAX_ENTRY_BYTES;
@@ -112,6 +114,9 @@
     author: Incarnation,
     settings: WriterSettings,
 ) -> WriterHandle<L> {
+    let group_bytes = settings
+        .batch_bytes
+        .saturating_sub(2 * BATCH_OVERHEAD_BYTES);
     let actor = LogWriter {
         log,
         follower,
@@ -126,6 +131,7 @@
     };
     WriterHandle {
         address: xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX_CAPACITY)),
+        group_bytes,
     }
 }
 
@@ -133,12 +139,15 @@
 #[derive(Debug)]
 pub struct WriterHandle<L: LogService> {
     address: Address<LogWriter<L>>,
+    /// Records that take more bytes are appended in several batches.
+    group_bytes: usize,
 }
 
 impl<L: LogService> Clone for WriterHandle<L> {
     fn clone(&self) -> Self {
         Self {
             address: self.address.clone(),
+            group_bytes: self.group_bytes,
         }
     }
 }
@@ -147,13 +156,30 @@
     /// Appends records and returns their effects once they were folded here.
     ///
     /// Fails after `limit` at the latest. The records of one call stay
-    /// together, in one batch.
+    /// together in one batch if they fit; otherwise several batches keep their
+    /// order, and the call fails as unknown once one of them was taken.
     pub async fn append(
         &self,
         records: Vec<LogRecord>,
         limit: Duration,
     ) -> Result<Vec<FoldEffect>, AppendError> {
         let deadline = Instant::now() + limit;
+        let mut effects = Vec::with_capacity(records.len());
+        for group in group_by_size(records, self.group_bytes) {
+            match self.append_group(group, deadline).await {
+                Ok(folded) => effects.extend(folded),
+                Err(error) if effects.is_empty() => return Err(error),
+                Err(_later) => return Err(AppendError::Unknown),
+            }
+        }
+        Ok(effects)
+    }
+
+    async fn append_group(
+        &self,
+        records: Vec<LogRecord>,
+        deadline: Instant,
+    ) -> Result<Vec<FoldEffect>, AppendError> {
         let message = Append { records, deadline };
         // A message that is handled after its deadline is refused, so nothing
         // is appended for a caller who was told so here.
@@ -367,7 +393,7 @@
     async fn handle(&mut self, message: Append, ctx: &mut Context<Self>) -> Self::Return {
         let (reply, receiver) = oneshot::channel();
         let append = WaitingAppend {
-            bytes: postcard::to_allocvec(&message.records).map_or(usize::MAX / 2, |it| it.len()),
+            bytes: encoded_size(&message.records),
             records: message.records,
             deadline: message.deadline,
             reply,
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -31,6 +31,9 @@
 /// How long an append of what others can repeat may take.
 const REPORT_LIMIT: Duration = Duration::from_secs(30);
 
+/// Most positions in one record.
+const RESIGNS_PER_RECORD: usize = 1024;
+
 /// Most resignations in one append.
 const RESIGNS_PER_APPEND: usize = 1024;
 
@@ -125,8 +128,12 @@
     pub async fn append_resigns(self, mut resigns: mpsc::Receiver<Vec<(ChainKey, Epoch)>>) {
         let mut batch = Vec::new();
         while resigns.recv_many(&mut batch, RESIGNS_PER_APPEND).await > 0 {
-            let positions = batch.drain(..).flatten().collect();
-            self.report(vec![LogRecord::Resign { positions }]).await;
+            let positions: Vec<(ChainKey, Epoch)> = batch.drain(..).flatten().collect();
+            let records = positions.chunks(RESIGNS_PER_RECORD).map(|part| {
+                let positions = part.to_vec();
+                LogRecord::Resign { positions }
+            });
+            self.report(records.collect()).await;
         }
     }
 
--- a/tests/testsuite/log_client.rs
+++ b/tests/testsuite/log_client.rs
@@ -13,6 +13,7 @@
 use buckthornwinch::log::writer::WriterHandle;
 use buckthornwinch::log::writer::WriterSettings;
 use buckthornwinch::log::writer::start_writer;
+use buckthornwinch::state::codec::MAX_ENTRY_BYTES;
 use buckthornwinch::state::codec::encode_batch;
 use buckthornwinch::state::effect::FoldEffect;
 use buckthornwinch::state::effect::IgnoreReason;
@@ -30,6 +31,7 @@
 use winch_test_support::records::change;
 use winch_test_support::records::join;
 use winch_test_support::records::service;
+use winch_test_support::records::slice;
 
 const LIMIT: Duration = Duration::from_secs(20);
 
@@ -176,6 +178,31 @@
     assert!(log.attempts() < 10, "{} appends", log.attempts());
 }
 
+#[tokio::test]
+async fn records_that_exceed_a_batch_are_split_and_keep_their_order() {
+    let log = FakeLog::new(1);
+    let (_follower, writer) = joined(log.clone()).await;
+    let mut records = Vec::new();
+    for term in 1..=20 {
+        let positions = vec![(slice(1), 1); 2_000];
+        records.push(LogRecord::Resign { positions });
+        records.push(LogRecord::Claim { term });
+    }
+    let positions = vec![(slice(1), 1); MAX_ENTRY_BYTES];
+
+    let effects = writer.append(records, LIMIT).await.unwrap();
+    let oversized = LogRecord::Resign { positions };
+    let oversized = writer.append(vec![oversized], LIMIT).await;
+
+    assert_eq!(effects.len(), 40);
+    for pair in effects.chunks(2) {
+        assert_eq!(pair[0], FoldEffect::Ignored(IgnoreReason::UnknownChain));
+        assert_eq!(pair[1], FoldEffect::Accepted);
+    }
+    assert!(log.written().len() > 2);
+    assert_eq!(oversized, Err(AppendError::Unavailable));
+}
+
 #[tokio::test]
 async fn author_that_was_ended_is_told_so() {
     let log = FakeLog::new(1);
