node, handover: run a key only under the chain that it belongs to

Cause: an entry that lags behind the log sends a key that was taken out of its slice under the slice's chain. The slice's owner admitted it, while the key's own chain had another owner: two owners of one key. And a key could move away while a request for it, admitted under the slice, still ran.

Change: the owner resolves the key by its own folded state and refuses an order under another chain, not run. A request counts as running for the key's chain as well as for the slice's, so a planned move of the key waits for it. The check comes after the request counts, so nothing slips in between.

Seen failing first: with the check taken out both tests of node_handler.rs fail.

--- a/src/handover/activity.rs
+++ b/src/handover/activity.rs
@@ -9,8 +9,10 @@
 
 use crate::base::collections::FastMap;
 use crate::base::ids::Epoch;
+use crate::base::ids::KeyHash;
 use crate::planner::placement::chain_hash;
 use crate::state::record::ChainKey;
+use crate::state::record::ChainSubject;
 
 /// Parts of the table, so that requests rarely share a lock.
 const SHARDS: usize = 32;
@@ -58,7 +60,35 @@
     }
 }
 
+/// One admitted request for a key; it ends when this is dropped.
+#[derive(Debug)]
+pub struct KeyGuard {
+    _key: ActivityGuard,
+    _slice: Option<ActivityGuard>,
+}
+
 impl ChainActivity {
+    /// Admits a request for a key under its slice's chain or its own.
+    ///
+    /// It counts for both: a key that is taken out of its slice moves away only
+    /// when what was admitted under the slice has finished.
+    pub fn enter_key(&self, chain: &ChainKey, key: KeyHash, epoch: Epoch) -> Option<KeyGuard> {
+        let single = ChainKey {
+            service: chain.service.clone(),
+            subject: ChainSubject::Key(key),
+        };
+        let in_key = self.enter(&single, epoch)?;
+        let in_slice = if *chain == single {
+            None
+        } else {
+            Some(self.enter(chain, epoch)?)
+        };
+        Some(KeyGuard {
+            _key: in_key,
+            _slice: in_slice,
+        })
+    }
+
     /// Admits a request; none if the chain is closed at the epoch.
     pub fn enter(&self, chain: &ChainKey, epoch: Epoch) -> Option<ActivityGuard> {
         let mut shard = self.shard(chain);
--- a/src/node/handler.rs
+++ b/src/node/handler.rs
@@ -7,6 +7,7 @@
 
 use crate::admission::load::OwnerLoad;
 use crate::base::error::ErrorKind;
+use crate::base::hash::hash_key;
 use crate::base::ids::Offset;
 use crate::delivery::message::OrderFailure;
 use crate::delivery::message::OrderRequest;
@@ -67,6 +68,7 @@
             return self.owner.handle(order, cancelled).await;
         }
         self.sampler.count(&order.chain.service, &order.key);
+        let key = hash_key(order.key.as_bytes());
         let token = match self.gate.admit(&order.chain) {
             Ok(token) => token,
             Err(kind) => {
@@ -76,12 +78,24 @@
                 ));
             }
         };
-        let Some(_running) = self.activity.enter(&order.chain, token.epoch) else {
+        let Some(_running) = self.activity.enter_key(&order.chain, key, token.epoch) else {
             return Err(OrderFailure::new(
                 ErrorKind::NotOwner,
                 "the key is moving away",
             ));
         };
+        // After the request counts as running, so that a key which is taken out
+        // of its slice from here on waits for it.
+        let chain = self
+            .follower
+            .state()
+            .chain_of_key(&order.chain.service, key);
+        if chain.as_ref() != Some(&order.chain) {
+            return Err(OrderFailure::new(
+                ErrorKind::NotOwner,
+                "the key belongs to another chain",
+            ));
+        }
         self.owner.handle(order, cancelled).await
     }
 
--- a/src/state/fold_chain.rs
+++ b/src/state/fold_chain.rs
@@ -19,6 +19,8 @@
 use crate::base::hash::slice_of;
 use crate::base::ids::Epoch;
 use crate::base::ids::Incarnation;
+use crate::base::ids::KeyHash;
+use crate::base::ids::ServiceName;
 use crate::base::ids::Term;
 use crate::declarations::Declaration;
 use crate::declarations::ObjectKey;
@@ -89,6 +91,20 @@
         })
     }
 
+    /// Returns the chain that a key belongs to; none if its service is not
+    /// declared.
+    pub fn chain_of_key(&self, service: &ServiceName, key: KeyHash) -> Option<ChainKey> {
+        let single = ChainKey {
+            service: service.clone(),
+            subject: ChainSubject::Key(key),
+        };
+        if self.chains.contains_key(&single) {
+            Some(single)
+        } else {
+            self.slice_chain(&single)
+        }
+    }
+
     /// Returns the chain, or what it starts from before its first append.
     fn chain_or_origin(&self, key: &ChainKey) -> Option<HolderChain> {
         if let Some(chain) = self.chains.get(key) {
--- a/tests/testsuite/fold.rs
+++ b/tests/testsuite/fold.rs
@@ -18,6 +18,8 @@
 use buckthornwinch::state::record::LogBatch;
 use buckthornwinch::state::record::LogRecord;
 use proptest::prelude::*;
+use winch_test_support::fleet::FleetLog;
+use winch_test_support::records::SERVICE;
 use winch_test_support::records::batch;
 use winch_test_support::records::change;
 use winch_test_support::records::join;
@@ -399,3 +401,20 @@
         }
     }
 }
+
+#[test]
+fn a_key_belongs_to_its_own_chain_once_it_has_one() {
+    let mut log = FleetLog::with_nodes(2);
+    log.assign(&slice(0), &[1]);
+
+    let before = log.state.chain_of_key(&SERVICE.into(), 4);
+    log.assign(&key(4), &[2]);
+    let after = log.state.chain_of_key(&SERVICE.into(), 4);
+    let neighbour = log.state.chain_of_key(&SERVICE.into(), 8);
+    let undeclared = log.state.chain_of_key(&"undeclared".into(), 4);
+
+    assert_eq!(before, Some(slice(0)));
+    assert_eq!(after, Some(key(4)));
+    assert_eq!(neighbour, Some(slice(0)));
+    assert_eq!(undeclared, None);
+}
--- a/tests/testsuite/handover.rs
+++ b/tests/testsuite/handover.rs
@@ -9,6 +9,7 @@
 use buckthornwinch::state::record::LogRecord;
 use winch_test_support::fleet::FleetLog;
 use winch_test_support::fleet::incarnation;
+use winch_test_support::records::key;
 use winch_test_support::records::slice;
 
 /// Node 1 owns slice 0, 2 and 3 stand by, and it moves to node 4 with 5 behind.
@@ -110,3 +111,24 @@
     assert!(activity.enter(&slice(0), 1).is_none());
     assert!(activity.enter(&slice(0), 2).is_some());
 }
+
+#[tokio::test]
+async fn a_key_moves_away_when_what_ran_under_its_slice_has_finished() {
+    let activity = ChainActivity::default();
+    let running = activity.enter_key(&slice(0), 4, 1);
+    let closing = tokio::spawn({
+        let activity = activity.clone();
+        async move { activity.close(&key(4), 1).await }
+    });
+    while activity.enter_key(&slice(0), 4, 1).is_some() {
+        tokio::task::yield_now().await;
+    }
+
+    let was_closed = closing.is_finished();
+    let other_key = activity.enter_key(&slice(0), 8, 1);
+    drop(running);
+    closing.await.expect("the wait ends");
+
+    assert!(!was_closed);
+    assert!(other_key.is_some());
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod log_client;
 mod log_sessions;
 mod model_check;
+mod node_handler;
 mod operator_pages;
 mod outcome_table;
 mod outcomes;
--- /dev/null
+++ b/tests/testsuite/node_handler.rs
@@ -0,0 +1,92 @@
+//! A request runs under the chain that its key belongs to, or not at all.
+
+use std::sync::Arc;
+
+use buckthornwinch::base::error::ErrorKind;
+use buckthornwinch::base::hash::hash_key;
+use buckthornwinch::base::hash::slice_of;
+use buckthornwinch::delivery::message::OrderRequest;
+use buckthornwinch::delivery::message::OrderResult;
+use buckthornwinch::delivery::owner::OwnerService;
+use buckthornwinch::delivery::settings::OwnerSettings;
+use buckthornwinch::handover::activity::ChainActivity;
+use buckthornwinch::hotkeys::report::KeySampler;
+use buckthornwinch::log::follower::FollowerSettings;
+use buckthornwinch::log::follower::start_follower;
+use buckthornwinch::node::handler::NodeHandler;
+use buckthornwinch::state::folded::FoldedState;
+use buckthornwinch::state::record::ChainKey;
+use buckthornwinch::transport::server::OrderHandler;
+use buckthornwinch::upstream::announce::UpstreamRegistry;
+use buckthornwinch::upstream::http::HttpUpstream;
+use tokio_util::sync::CancellationToken;
+use winch_test_support::fake_log::FakeLog;
+use winch_test_support::fleet::FleetLog;
+use winch_test_support::owner::FakeGate;
+use winch_test_support::owner::order;
+use winch_test_support::records::key;
+use winch_test_support::records::slice;
+
+const KEY: &str = "shop-1";
+
+/// How many slices the fixtures' service has.
+const SLICES: u16 = 4;
+
+fn slice_of_key() -> ChainKey {
+    slice(slice_of(hash_key(KEY.as_bytes()), SLICES))
+}
+
+/// Takes an order for the key under a chain to its outcome, at a process whose
+/// gate is open and whose upstream is not announced.
+async fn handle_under(chain: ChainKey, state: FoldedState) -> OrderResult {
+    let settings = FollowerSettings::builder().build();
+    let follower = start_follower(FakeLog::new(1), FoldedState::default(), settings);
+    assert!(follower.install(state).await);
+    let owner = OwnerService::new(
+        FakeGate::open(),
+        HttpUpstream::new(1000).expect("a client"),
+        UpstreamRegistry::new().subscribe(),
+        OwnerSettings::builder().incarnation(7).build(),
+    );
+    let handler = NodeHandler::new(
+        FakeGate::open(),
+        Arc::new(owner),
+        ChainActivity::default(),
+        KeySampler::default(),
+        follower,
+    );
+    let order = OrderRequest {
+        chain,
+        ..order("urgent", "/")
+    };
+    handler.handle(order, CancellationToken::new()).await
+}
+
+fn kind_of(result: &OrderResult) -> Option<ErrorKind> {
+    result.as_ref().err().map(|failure| failure.kind)
+}
+
+#[tokio::test]
+async fn a_key_taken_out_of_its_slice_is_not_run_under_the_slice() {
+    let mut log = FleetLog::with_nodes(2);
+    log.assign(&slice_of_key(), &[1]);
+
+    let before = handle_under(slice_of_key(), log.state.clone()).await;
+    log.assign(&key(hash_key(KEY.as_bytes())), &[2]);
+    let after = handle_under(slice_of_key(), log.state.clone()).await;
+
+    assert_ne!(kind_of(&before), Some(ErrorKind::NotOwner));
+    assert_eq!(kind_of(&after), Some(ErrorKind::NotOwner));
+}
+
+#[tokio::test]
+async fn a_key_is_not_run_under_another_slice() {
+    let mut log = FleetLog::with_nodes(2);
+    let other = slice((slice_of(hash_key(KEY.as_bytes()), SLICES) + 1) % SLICES);
+    log.assign(&slice_of_key(), &[1]);
+    log.assign(&other, &[1]);
+
+    let result = handle_under(other, log.state.clone()).await;
+
+    assert_eq!(kind_of(&result), Some(ErrorKind::NotOwner));
+}
