--- a/src/delivery/outcome_store.rs
+++ b/src/delivery/outcome_store.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Returns how many outcomes are kept. Takes each shard's lock in turn.
+    pub fn count(&self) -> usize {
+        self.shards.iter().map(|shard| locked(shard).len()).sum()
+    }
+
     /// Hands a chain's outcomes over; see [`OutcomeTable::export`].
     pub fn export(&self, chain: &ChainKey, epoch: Epoch) -> ChainOutcomes {
         let now = self.now();
--- a/src/delivery/owner.rs
+++ b/src/delivery/owner.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Returns how many outcomes are kept for repetitions.
+    pub fn kept_outcomes(&self) -> usize {
+        self.outcomes.count()
+    }
+
     /// Takes the declared priority classes.
     pub fn set_classes(&self, classes: &[ClassDeclaration]) {
         self.classes.store(Arc::new(ClassTable::new(classes)));
--- a/src/node/figures.rs
+++ b/src/node/figures.rs
@@ -26,18 +26,27 @@
 /// The other figures are kept after so many samples.
 const KEEP_SAMPLES: u32 = 10;
 
+/// Figures of a process as owner.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnerFigures {
+    /// Its load.
+    pub load: OwnerLoad,
+    /// Outcomes that it keeps for repetitions.
+    pub outcomes: usize,
+}
+
 /// Keeps the metrics that follow from the state of the process.
 #[derive(Debug)]
 #[derive(bon::Builder)]
-pub struct FigureKeeper<L: LogService, F: Fn() -> OwnerLoad> {
+pub struct FigureKeeper<L: LogService, F: Fn() -> OwnerFigures> {
     own: Incarnation,
     metrics: MetricRegistry,
     log: MeteredLog<L>,
     follower: FollowerHandle,
     inputs: watch::Receiver<NodeInputs>,
     upstream: UpstreamWatch,
-    /// Tells the load of this process as owner.
-    load: F,
+    /// Tells the figures of this process as owner.
+    owner: F,
 }
 
 /// What the figures were at the last look.
@@ -48,7 +57,7 @@
     undecodable: u64,
 }
 
-impl<L: LogService, F: Fn() -> OwnerLoad> FigureKeeper<L, F> {
+impl<L: LogService, F: Fn() -> OwnerFigures> FigureKeeper<L, F> {
     /// Keeps the figures until the process stops.
     pub async fn run(self) {
         let mut ticks = TimerService.subscribe(SAMPLE_INTERVAL);
@@ -88,12 +97,15 @@
         let metrics = &self.metrics.upstream;
         let announced = self.upstream.borrow().clone();
         let slots = announced.as_ref().map_or(0, |info| info.slots);
-        let load = (self.load)();
+        let OwnerFigures { load, outcomes } = (self.owner)();
         metrics.announced.set(announced.is_some().into());
         metrics.slots.set(slots.into());
         metrics.limit.set(load.limit.into());
         metrics.running.set(load.running.into());
         metrics.waiting.set(load.waiting.into());
+        metrics
+            .outcomes
+            .set(i64::try_from(outcomes).unwrap_or(i64::MAX));
     }
 
     fn keep_state(&self, seen: &NodeInputs, inputs: &NodeInputs) {
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -20,6 +20,7 @@
 use super::datagrams::DatagramReceiver;
 use super::datagrams::NodeSender;
 use super::figures::FigureKeeper;
+use super::figures::OwnerFigures;
 use super::handler::NodeHandler;
 use super::identity::new_incarnation;
 use super::inputs::NodeInputs;
@@ -312,9 +313,12 @@
             .follower(follower.clone())
             .inputs(inputs.clone())
             .upstream(registry.subscribe())
-            .load({
+            .owner({
                 let owner = Arc::clone(&owner);
-                move || owner.load()
+                move || OwnerFigures {
+                    load: owner.load(),
+                    outcomes: owner.kept_outcomes(),
+                }
             })
             .build();
         tasks.spawn(until(stop.clone(), figures.run()));
--- a/src/telemetry/catalogue.rs
+++ b/src/telemetry/catalogue.rs
@@ -92,6 +92,7 @@
     info(Gauge, "winch_upstream_limit", &[], "Requests that may run on the upstream at once, adapted to its latency.", "well below winch_upstream_slots means a slow upstream"),
     info(Gauge, "winch_upstream_announced", &[], "Whether the upstream's announcement is fresh, 0 or 1.", "at 0, look at the upstream"),
     info(Gauge, "winch_owner_running", &[], "Requests that run on this process's upstream.", "compare with winch_upstream_limit"),
+    info(Gauge, "winch_outcome_entries", &[], "Outcomes that this owner keeps for repetitions.", "near limits.outcome_entries, raise it: the oldest outcomes go first"),
     info(Gauge, "winch_owner_waiting", &[], "Requests that wait at this owner.", "a steady queue needs more slots, unless the work may wait"),
 ];
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -144,6 +144,8 @@
     pub running: IntGauge,
     /// Requests that wait at this owner.
     pub waiting: IntGauge,
+    /// Outcomes that are kept for repetitions.
+    pub outcomes: IntGauge,
 }
 
 #[derive(Debug, Clone)]
@@ -353,6 +355,7 @@
             announced: self.gauge("winch_upstream_announced"),
             running: self.gauge("winch_owner_running"),
             waiting: self.gauge("winch_owner_waiting"),
+            outcomes: self.gauge("winch_outcome_entries"),
         }
     }
 }
--- a/tests/testsuite/outcomes.rs
+++ b/tests/testsuite/outcomes.rs
@@ -35,6 +35,18 @@
     assert_eq!(fixture.upstream.ledger().started.len(), 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn kept_outcomes_are_counted_once_for_all_repetitions() {
+    let fixture = owner_fixture(4, FakeReply::Answer(SERVICE_TIME)).await;
+    let before = fixture.owner.kept_outcomes();
+
+    fixture.handle(attempt(1)).await.unwrap();
+    fixture.handle(attempt(2)).await.unwrap();
+
+    assert_eq!(before, 0);
+    assert_eq!(fixture.owner.kept_outcomes(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_order_goes_on_for_its_repetition_when_the_first_caller_leaves() {
     let fixture = owner_fixture(4, FakeReply::Answer(SERVICE_TIME)).await;
