--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -25,4 +25,6 @@
 pub mod service;
 pub mod snapshot_keeper;
 pub mod snapshots;
+pub mod split;
 pub mod writer;
+pub mod writer_actor;
