--- a/src/delivery/owner.rs
+++ b/src/delivery/owner.rs
@@ -295,7 +295,11 @@
             .queue
             .admit(context.class, caller, context.deadline)
             .await
-            .map_err(failure::slot_refusal)?;
+            .map_err(|refused| {
+                let slug = refused.kind.answer().slug;
+                log::debug!("admission: refused {}: {slug}", context.request.class);
+                failure::slot_refusal(refused)
+            })?;
         self.dispatch(context, permit, started).await
     }
 
@@ -332,6 +336,11 @@
             id: id.clone(),
             remaining: context.remaining(),
         };
+        log::debug!(
+            "delivery: dispatched {id} to {} at epoch {}",
+            info.address,
+            token.epoch
+        );
         // Set before the dispatch and, unless the order is proven not to have
         // run, never unset: an idempotent order that was lost stays started.
         let before = started.swap(true, Ordering::AcqRel);
