log: keep the writer's actor inside its slice

Cause: nothing outside the slice names it.

Change: the module is private.

Conclusion: no change in what the program does.

--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -27,4 +27,4 @@
 pub mod snapshots;
 pub mod split;
 pub mod writer;
-pub mod writer_actor;
+mod writer_actor;
