planner, bench: split plans that exceed an entry of the log; add slopes

The planner handed a whole plan to the writer as one append. For a service of 16,384 slices that is 557,065 bytes, the codec refuses it (the limit is 262,144), and since the basis was noted as planned the plan was not repeated: such a fleet would never have got owners. slopes found it, failing with TooLarge; a plan now goes out in batches of at most 2,048 holder appends, and a test encodes each batch of the largest plan.

--- a/crates/winch-bench/src/experiments/mod.rs
+++ b/crates/winch-bench/src/experiments/mod.rs
@@ -7,6 +7,7 @@
 mod orders;
 mod probe;
 pub mod quickstart;
+mod slopes;
 mod steady;
 mod support;
 mod takeover;
@@ -41,6 +42,8 @@
     FloodLow,
     /// A flood of lookups.
     FloodHigh,
+    /// What sizes cost.
+    Slopes,
 }
 
 /// What every experiment is given.
@@ -56,7 +59,7 @@
 
 impl ExperimentName {
     /// Every experiment, in the order of `run all`.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Steady,
         Self::Takeover,
         Self::TakeoverLogDown,
@@ -66,6 +69,7 @@
         Self::Classes,
         Self::FloodLow,
         Self::FloodHigh,
+        Self::Slopes,
     ];
 
     /// Returns the name.
@@ -80,6 +84,7 @@
             Self::Classes => "classes",
             Self::FloodLow => "flood-low",
             Self::FloodHigh => "flood-high",
+            Self::Slopes => "slopes",
         }
     }
 
@@ -94,6 +99,7 @@
             Self::Orders => "orders repeated while owners are killed, frozen and answers lost",
             Self::Classes => "mixed load at 95 % of an owner's capacity",
             Self::FloodLow => "work that may wait at 10 times an owner's capacity",
+            Self::Slopes => "fold, plan, snapshot and datagrams against members and slices",
             Self::FloodHigh => "lookups at 10 times an owner's capacity",
         }
     }
@@ -127,6 +133,7 @@
             Self::Orders => orders::run(context).await,
             Self::Classes => flood::run(context, self.as_str(), FloodKind::Classes).await,
             Self::FloodLow => flood::run(context, self.as_str(), FloodKind::Low).await,
+            Self::Slopes => slopes::run(context).await,
             Self::FloodHigh => flood::run(context, self.as_str(), FloodKind::High).await,
         }
     }
--- a/src/planner/actor.rs
+++ b/src/planner/actor.rs
@@ -18,6 +18,7 @@
 use super::placement::candidates;
 use super::plan::PlanInputs;
 use super::plan::plan;
+use super::plan::split_plan;
 use crate::base::collections::FastSet;
 use crate::base::ids::Incarnation;
 use crate::base::ids::Offset;
@@ -234,8 +235,11 @@
         let writer = self.writer.clone();
         let address = address.clone();
         tokio::spawn(async move {
-            if let Err(error) = writer.append(records, APPEND_LIMIT).await {
-                log::warn!("planner: the log did not take the plan: {error:?}");
+            for batch in split_plan(records) {
+                if let Err(error) = writer.append(batch, APPEND_LIMIT).await {
+                    log::warn!("planner: the log did not take the plan: {error:?}");
+                    break;
+                }
             }
             if let Some(planner) = address.try_upgrade() {
                 drop(planner.send(AppendEnded).detach().await);
--- a/src/planner/plan.rs
+++ b/src/planner/plan.rs
@@ -32,6 +32,9 @@
 /// Appends in one record at most.
 const APPENDS_PER_RECORD: usize = 512;
 
+/// Holder appends in one batch at most, so that it fits an entry of the log.
+const APPENDS_PER_BATCH: usize = 2048;
+
 /// What a plan depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct PlanInputs<'a> {
@@ -66,6 +69,28 @@
     records
 }
 
+/// Splits a plan into batches that each fit an entry of the log. The order of
+/// the records is kept.
+pub fn split_plan(records: Vec<LogRecord>) -> Vec<Vec<LogRecord>> {
+    let mut batches: Vec<Vec<LogRecord>> = Vec::new();
+    let mut size = APPENDS_PER_BATCH;
+    for record in records {
+        let weight = match &record {
+            LogRecord::Assign { appends, .. } => appends.len(),
+            _ => 1,
+        };
+        size += weight;
+        match batches.last_mut() {
+            Some(batch) if size <= APPENDS_PER_BATCH => batch.push(record),
+            _ => {
+                size = weight;
+                batches.push(vec![record]);
+            }
+        }
+    }
+    batches
+}
+
 fn plan_witnesses(inputs: PlanInputs<'_>) -> Vec<LogRecord> {
     let changes = witness_changes(inputs.state, inputs.ended);
     changes
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod ownership_succession;
 mod ownership_walk;
 mod peer_state;
+mod plan_batches;
 mod planner;
 mod settings;
 mod snapshot;
