delivery: give an order up after its upstream's longest order time

Cause: an order without a deadline waited for ever for an upstream that never answered, and kept its slot; only orders that nobody waited for were given up.

Change: the call itself is bounded by the announced longest order time; beyond it the outcome is unknown.

Seen failing: the new test got an answer after an hour.

--- a/src/delivery/owner.rs
+++ b/src/delivery/owner.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -353,7 +354,8 @@
         permit.begin();
         let joined = claim.clone();
         let run = async move {
-            let result = call.await;
+            // An order that outlives what its upstream announced may have run.
+            let result = timeout(longest, call).await.unwrap_or(Err(CallError::Lost));
             permit.finish(slot_verdict(&result));
             let result = result.map_err(failure::call_failure);
             if let Some(claim) = claim {
@@ -368,7 +370,7 @@
                 upstream.cancel(info, id).await;
             }
         };
-        let result = RunningOrder::new(run, cancel, longest).await;
+        let result = RunningOrder::new(run, cancel).await;
         if is_not_run(&result) {
             started.store(before, Ordering::Release);
         }
--- a/src/delivery/running.rs
+++ b/src/delivery/running.rs
@@ -3,9 +3,6 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
-use std::time::Duration;
-
-use tokio::time::timeout;
 
 /// A started order.
 ///
@@ -21,7 +18,6 @@
 {
     run: Option<Pin<Box<R>>>,
     cancel: Option<C>,
-    longest: Duration,
 }
 
 impl<R, C, F> RunningOrder<R, C, F>
@@ -30,13 +26,12 @@
     C: FnOnce() -> F,
     F: Future<Output = ()> + Send + 'static,
 {
-    /// Starts following `run`. Only if nobody waits any more, `cancel` is
-    /// called and `run` is given up after `longest`.
-    pub fn new(run: R, cancel: C, longest: Duration) -> Self {
+    /// Starts following `run`, which ends by itself. Only if nobody waits any
+    /// more, `cancel` is called.
+    pub fn new(run: R, cancel: C) -> Self {
         Self {
             run: Some(Box::pin(run)),
             cancel: Some(cancel),
-            longest,
         }
     }
 }
@@ -81,10 +76,9 @@
             return;
         };
         let cancellation = cancel();
-        let longest = self.longest;
         tokio::spawn(async move {
             let followed = async move {
-                let _ended = timeout(longest, run).await.is_ok();
+                drop(run.await);
             };
             tokio::join!(cancellation, followed);
         });
--- a/tests/testsuite/delivery.rs
+++ b/tests/testsuite/delivery.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use buckthornwinch::base::error::ErrorKind;
+use buckthornwinch::delivery::message::OrderRequest;
 use tokio_util::sync::CancellationToken;
 use winch_test_support::owner::FakeReply;
 use winch_test_support::owner::order;
@@ -189,3 +190,17 @@
     assert!(failing_load.pressure() > idle_load.pressure());
     assert!(idle_load.pressure() > working_load.pressure());
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_upstream_that_never_answers_is_given_up_after_its_longest_order() {
+    let fixture = owner_fixture(1, FakeReply::Answer(Duration::from_hours(1))).await;
+    let endless = OrderRequest {
+        remaining: None,
+        idempotency_key: Some("order-1".into()),
+        ..order("reports", "/a")
+    };
+
+    let result = fixture.handle(endless).await;
+
+    assert_eq!(result.unwrap_err().kind, ErrorKind::UpstreamFailed);
+}
