node: keep the folded state over rejoins, and derive tables at most every 10 ms

Cause: seen on six processes by hand: an incarnation that ended while the log was down was followed by one with an empty state, whose entry answered 404; and a drain of several hundred slices changed the inputs once a slice, which starved another process of its lease in a debug build. Change: the next incarnation starts from what the last one folded; changes of the inputs are taken together over 10 ms; stopping has a limit.

--- a/src/node/inputs.rs
+++ b/src/node/inputs.rs
@@ -1,6 +1,7 @@
 //! What the parts of a process depend on, in one place.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::watch;
 
@@ -15,6 +16,9 @@
 use crate::transport::link::PeerLink;
 use crate::transport::link::RequestNumbers;
 
+/// Least time between two changes of the inputs.
+const COALESCE_TIME: Duration = Duration::from_millis(10);
+
 /// The folded state and what this process knows beyond it.
 #[derive(Debug, Clone, Default)]
 pub struct NodeInputs {
@@ -40,6 +44,9 @@
             is_leaving: *leaving.borrow_and_update(),
         };
         joined.send_replace(inputs);
+        // A drain or a plan changes the sources many times in a row; every
+        // part derives its tables once for all of them.
+        tokio::time::sleep(COALESCE_TIME).await;
         let changed = tokio::select! {
             changed = states.changed() => changed,
             changed = views.changed() => changed,
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -86,6 +86,9 @@
 /// How often leases are looked at.
 const LEASE_TICK: Duration = Duration::from_millis(50);
 
+/// How long the parts of an incarnation may take to stop.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+
 /// Longest random pause before an incarnation that ended is followed by the
 /// next.
 const REJOIN_SPREAD: Duration = Duration::from_secs(1);
@@ -95,9 +98,14 @@
 /// Fails when a socket cannot be bound.
 pub async fn run_node(settings: NodeSettings, leave: CancellationToken) -> eyre::Result<()> {
     let settings = Arc::new(settings);
+    // The next incarnation goes on from what this one folded, so that it can
+    // route while the log is down.
+    let mut state = Arc::<FoldedState>::default();
     while !leave.is_cancelled() {
-        let process = NodeProcess::start(Arc::clone(&settings)).await?;
+        let process = NodeProcess::start(Arc::clone(&settings), &state).await?;
+        let inputs = process.inputs.clone();
         process.run(&leave).await;
+        state = Arc::clone(&inputs.borrow().state);
         if !leave.is_cancelled() {
             // Processes that ended together would take each other's new
             // witnesses away if they joined together again.
@@ -181,7 +189,7 @@
 
 impl NodeProcess {
     #[expect(clippy::too_many_lines, reason = "wires every part once, in one place")]
-    async fn start(settings: Arc<NodeSettings>) -> eyre::Result<Self> {
+    async fn start(settings: Arc<NodeSettings>, state: &FoldedState) -> eyre::Result<Self> {
         let own = new_incarnation();
         let listeners = NodeListeners::bind(&settings).await?;
         log::info!("node: {} starts as {own:x}", settings.node);
@@ -198,7 +206,7 @@
         let log = MeteredLog::new(log, metrics.log.clone());
         let follower = start_follower(
             log.clone(),
-            FoldedState::default(),
+            state.clone(),
             FollowerSettings::builder()
                 .poll_interval(settings.log.poll_interval)
                 .page_limit(settings.log.read_entries as usize)
@@ -468,8 +476,11 @@
         self.stop.cancel();
         self.entries.close();
         self.tasks.close();
-        self.tasks.wait().await;
         let limit = self.settings.drain.timeout;
+        let ended = tokio::time::timeout(STOP_LIMIT, self.tasks.wait()).await;
+        if ended.is_err() {
+            log::warn!("node: parts of {:x} did not stop in time", self.own);
+        }
         drop(tokio::time::timeout(limit, self.entries.wait()).await);
     }
 }
