transport: refuse at the entry what the owner said it would refuse

The limiter stood unwired. Each link keeps its owner's word; while an owner takes everything the request path takes no lock.

--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -19,7 +22,10 @@
 use super::frame::PROTOCOL_VERSION;
 use super::frame::PeerMessage;
 use super::frame::encode_message;
+use crate::admission::entry_limiter::EntryLimiter;
+use crate::admission::load::FULL_PERMILLE;
 use crate::admission::load::OwnerLoad;
+use crate::admission::load::class_tag;
 use crate::base::collections::FastMap;
 use crate::base::error::ErrorKind;
 use crate::base::ids::Incarnation;
@@ -93,12 +99,56 @@
     }
 }
 
+/// What the owner takes of each class, for the requests of one link.
+#[derive(Debug)]
+struct LinkLimiter {
+    owner: Incarnation,
+    started: Instant,
+    /// Whether the owner refuses a part of any class.
+    is_limited: AtomicBool,
+    limiter: Mutex<EntryLimiter>,
+}
+
+impl LinkLimiter {
+    fn new(owner: Incarnation) -> Self {
+        Self {
+            owner,
+            started: Instant::now(),
+            is_limited: AtomicBool::new(false),
+            limiter: Mutex::default(),
+        }
+    }
+
+    /// Takes the owner's word. Costs no lock while the owner takes everything.
+    fn learn(&self, load: &OwnerLoad) {
+        let refuses = load
+            .rates
+            .iter()
+            .any(|rate| rate.class != 0 && rate.admitted_permille < FULL_PERMILLE);
+        if refuses || self.is_limited.load(Ordering::Relaxed) {
+            self.is_limited.store(refuses, Ordering::Relaxed);
+            let mut limiter = self.limiter.lock().unwrap_or_else(PoisonError::into_inner);
+            limiter.learn(self.started.elapsed(), self.owner, load);
+        }
+    }
+
+    /// Lets a request through, or tells when to retry.
+    fn admit(&self, class: &str) -> Result<(), Duration> {
+        if !self.is_limited.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        let mut limiter = self.limiter.lock().unwrap_or_else(PoisonError::into_inner);
+        limiter.admit(self.started.elapsed(), self.owner, class_tag(class))
+    }
+}
+
 /// A link to one owner. Cloning shares it; it ends with its last clone.
 #[derive(Debug, Clone)]
 pub struct PeerLink {
     commands: mpsc::Sender<LinkCommand>,
     numbers: RequestNumbers,
     load: Arc<ReportedLoad>,
+    limiter: Arc<LinkLimiter>,
 }
 
 impl PeerLink {
@@ -112,12 +162,14 @@
     ) -> Self {
         let (sender, commands) = mpsc::channel(COMMAND_QUEUE);
         let load = Arc::<ReportedLoad>::default();
+        let limiter = Arc::new(LinkLimiter::new(to));
         let task = LinkTask {
             from,
             to,
             address,
             commands,
             load: Arc::clone(&load),
+            limiter: Arc::clone(&limiter),
             pending: FastMap::default(),
             last_used: Instant::now(),
         };
@@ -126,6 +178,7 @@
             commands: sender,
             numbers,
             load,
+            limiter,
         }
     }
 
@@ -137,10 +190,12 @@
     /// Sends a request and waits for its answer. Dropping the future cancels
     /// the request.
     ///
-    /// Fails with [`ErrorKind::OwnerUnreachable`] when the request was never
+    /// Fails with [`ErrorKind::Overloaded`] when the owner said that it would
+    /// refuse the request, with [`ErrorKind::OwnerUnreachable`] when the request was never
     /// sent, and with [`ErrorKind::ConnectionLost`] when it was sent and the
     /// owner has ended.
     pub async fn call(&self, order: OrderRequest) -> OrderResult {
+        self.limiter.admit(&order.class).map_err(refused)?;
         let id = self.numbers.next();
         let (reply, answer) = oneshot::channel();
         let command = LinkCommand::Call {
@@ -162,6 +217,14 @@
     }
 }
 
+fn refused(retry_after: Duration) -> OrderFailure {
+    OrderFailure {
+        kind: ErrorKind::Overloaded,
+        retry_after: Some(retry_after),
+        detail: "the owner takes no more of this class".into(),
+    }
+}
+
 fn unreachable() -> OrderFailure {
     OrderFailure::new(ErrorKind::OwnerUnreachable, "the owner cannot be reached")
 }
@@ -207,6 +270,7 @@
     address: SocketAddr,
     commands: mpsc::Receiver<LinkCommand>,
     load: Arc<ReportedLoad>,
+    limiter: Arc<LinkLimiter>,
     /// What was sent and is not answered.
     pending: FastMap<RequestId, PendingCall>,
     last_used: Instant,
@@ -390,6 +454,7 @@
 
     fn take(&mut self, message: PeerMessage) {
         if let PeerMessage::Answer { id, result, load } = message {
+            self.limiter.learn(&load);
             if **self.load.load() != load {
                 self.load.store(Arc::new(load));
             }
--- a/tests/testsuite/transport_link.rs
+++ b/tests/testsuite/transport_link.rs
@@ -6,7 +6,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use buckthornwinch::admission::load::ClassRate;
 use buckthornwinch::admission::load::OwnerLoad;
+use buckthornwinch::admission::load::class_tag;
 use buckthornwinch::base::error::ErrorKind;
 use buckthornwinch::delivery::message::OrderRequest;
 use buckthornwinch::delivery::message::OrderResult;
@@ -32,6 +34,7 @@
     runs: Arc<AtomicU64>,
     started: Arc<Notify>,
     release: CancellationToken,
+    load: OwnerLoad,
 }
 
 impl OrderHandler for CountingOwner {
@@ -48,7 +51,7 @@
     }
 
     fn load(&self) -> OwnerLoad {
-        OwnerLoad::default()
+        self.load
     }
 }
 
@@ -161,3 +164,27 @@
     let kind = result.map_err(|failure| failure.kind);
     assert_eq!(kind.err(), Some(ErrorKind::ConnectionLost));
 }
+
+#[tokio::test]
+async fn what_an_owner_would_refuse_is_refused_at_the_entry() {
+    let mut owner = CountingOwner::default();
+    owner.release.cancel();
+    owner.load.rates[0] = ClassRate {
+        class: class_tag("lookups"),
+        admitted_per_second: 1,
+        admitted_permille: 100,
+    };
+    let (address, _stop) = serve(OWNER, owner.clone()).await;
+    let link = link(address);
+
+    let mut refused = 0;
+    for _request in 0..50 {
+        let result = link.call(order("lookups", "/prices")).await;
+        refused += u64::from(result.is_err_and(|failure| failure.kind == ErrorKind::Overloaded));
+    }
+    let checks = link.call(order("checks", "/health")).await;
+
+    assert!(refused >= 40, "{refused}");
+    assert_eq!(owner.runs.load(Ordering::SeqCst), 50 - refused + 1);
+    assert_eq!(checks.map(|answer| answer.status), Ok(200));
+}
