--- a/crates/winch-bench/src/experiments/log_trouble.rs
+++ b/crates/winch-bench/src/experiments/log_trouble.rs
@@ -6,6 +6,7 @@
 
 use super::RunContext;
 use super::support::add_promises;
+use super::support::add_summary;
 use super::support::declarations;
 use super::support::service_keys;
 use super::support::start_fleet;
@@ -20,6 +21,7 @@
 use crate::load::record::unix_micros;
 use crate::load::stream::TrafficStream;
 use crate::load::stream::TrafficTarget;
+use crate::load::summary::summarize;
 use crate::results::ExperimentResult;
 
 const SERVICE_TIME: Duration = Duration::from_millis(2);
@@ -119,6 +121,10 @@
     let until = unix_micros();
     let outcome = generator.finish().await;
 
+    let summaries = summarize(&outcome, 0, u64::MAX);
+    for summary in summaries.values() {
+        add_summary(result, phase.name, summary);
+    }
     let failed = outcome.records.iter().filter(|record| !record.succeeded());
     let failed = failed.count();
     result.at_most(format!("{}.failed_lookups", phase.name), failed as f64, 0.0);
