node: find the chain of work divided by load by its idempotency key

Cause: the owner's check of a key's chain hashed the key for every service, the entry the idempotency key for services divided by load. Change: one rule gives the key by which a request finds its owner, used on both sides. The new test failed with NotOwner before and passes now.

--- a/src/declarations/mod.rs
+++ b/src/declarations/mod.rs
@@ -101,6 +101,17 @@
     Load,
 }
 
+impl DivisionMode {
+    /// Returns the key by which a request that has one owner finds it. Entry
+    /// and owner apply the same rule.
+    pub fn owner_key<'a>(self, key: &'a str, idempotency_key: Option<&'a str>) -> &'a str {
+        match self {
+            Self::Key => key,
+            Self::Load => idempotency_key.unwrap_or(key),
+        }
+    }
+}
+
 /// A service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/hotkeys/report.rs
+++ b/src/hotkeys/report.rs
@@ -12,7 +12,6 @@
 use super::sketch::HeavyHitters;
 use super::sketch::KeyCount;
 use super::sketch::ServiceKey;
-use crate::base::hash::hash_key;
 use crate::base::ids::Incarnation;
 use crate::base::ids::KeyHash;
 use crate::base::ids::ServiceName;
@@ -81,7 +80,7 @@
 
 impl KeySampler {
     /// Counts a request for a key.
-    pub fn count(&self, service: &str, key: &str) {
+    pub fn count(&self, service: &str, key: KeyHash) {
         let number = self.requests.fetch_add(1, Ordering::Relaxed);
         if !number.is_multiple_of(SAMPLE_EVERY) {
             return;
@@ -89,7 +88,7 @@
         if let Ok(mut sketch) = self.sketch.try_lock() {
             sketch.add(ServiceKey {
                 service: service.into(),
-                key: hash_key(key.as_bytes()),
+                key,
             });
         }
     }
--- a/src/node/handler.rs
+++ b/src/node/handler.rs
@@ -8,6 +8,7 @@
 use crate::admission::load::OwnerLoad;
 use crate::base::error::ErrorKind;
 use crate::base::hash::hash_key;
+use crate::base::ids::KeyHash;
 use crate::base::ids::Offset;
 use crate::delivery::message::OrderFailure;
 use crate::delivery::message::OrderRequest;
@@ -62,13 +63,28 @@
     }
 }
 
+impl<G: OwnershipGate> NodeHandler<G> {
+    /// Returns the hash of the key by which an order belongs to its chain.
+    fn owner_key(&self, order: &OrderRequest) -> Option<KeyHash> {
+        let state = self.follower.state();
+        let division = state.service_declaration(&order.chain.service)?.division;
+        let key = division.owner_key(&order.key, order.idempotency_key.as_deref());
+        Some(hash_key(key.as_bytes()))
+    }
+}
+
 impl<G: OwnershipGate> OrderHandler for NodeHandler<G> {
     async fn handle(&self, order: OrderRequest, cancelled: CancellationToken) -> OrderResult {
         if order.chain.subject == ChainSubject::Any {
             return self.owner.handle(order, cancelled).await;
         }
-        self.sampler.count(&order.chain.service, &order.key);
-        let key = hash_key(order.key.as_bytes());
+        let Some(key) = self.owner_key(&order) else {
+            return Err(OrderFailure::new(
+                ErrorKind::NotOwner,
+                "the service is not declared here",
+            ));
+        };
+        self.sampler.count(&order.chain.service, key);
         let token = match self.gate.admit(&order.chain) {
             Ok(token) => token,
             Err(kind) => {
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -54,15 +54,12 @@
         .services
         .get(request.service)
         .ok_or(ErrorKind::UnknownService)?;
-    match (service.declaration.division, request.idempotent) {
-        (DivisionMode::Key, _) => owned(table, service, request.key),
-        (DivisionMode::Load, false) => owned(
-            table,
-            service,
-            request.idempotency_key.unwrap_or(request.key),
-        ),
-        (DivisionMode::Load, true) => less_loaded(table, service, own_domain, loads),
+    let division = service.declaration.division;
+    if division == DivisionMode::Load && request.idempotent {
+        return less_loaded(table, service, own_domain, loads);
     }
+    let key = division.owner_key(request.key, request.idempotency_key);
+    owned(table, service, key)
 }
 
 fn owned(
--- a/src/state/fold_chain.rs
+++ b/src/state/fold_chain.rs
@@ -25,6 +25,7 @@
 use crate::declarations::Declaration;
 use crate::declarations::ObjectKey;
 use crate::declarations::ObjectKind;
+use crate::declarations::ServiceDeclaration;
 
 impl FoldedState {
     /// Tells whether a position has been passed for good: its holder resigned
@@ -53,21 +54,25 @@
             .or_else(|| self.serving(chain))
     }
 
-    /// Returns the number of slices of a declared service; none unless it is a
-    /// power of two.
-    pub fn slices_of(&self, service: &str) -> Option<u16> {
+    /// Returns a service's declaration.
+    pub fn service_declaration(&self, service: &str) -> Option<&ServiceDeclaration> {
         let object = ObjectKey {
             kind: ObjectKind::Service,
             name: service.into(),
         };
         match self.objects.get(&object)?.declaration.as_ref()? {
-            Declaration::Service(service) if service.slices.is_power_of_two() => {
-                Some(service.slices)
-            }
-            _ => None,
+            Declaration::Service(service) => Some(service),
+            Declaration::PriorityClass(_) | Declaration::OwnershipRule(_) => None,
         }
     }
 
+    /// Returns the number of slices of a declared service; none unless it is a
+    /// power of two.
+    pub fn slices_of(&self, service: &str) -> Option<u16> {
+        let slices = self.service_declaration(service)?.slices;
+        slices.is_power_of_two().then_some(slices)
+    }
+
     /// Returns the epoch that the next holder appended to a chain gets; none
     /// if the chain cannot exist.
     ///
--- a/tests/testsuite/node_handler.rs
+++ b/tests/testsuite/node_handler.rs
@@ -5,6 +5,8 @@
 use buckthornwinch::base::error::ErrorKind;
 use buckthornwinch::base::hash::hash_key;
 use buckthornwinch::base::hash::slice_of;
+use buckthornwinch::declarations::Declaration;
+use buckthornwinch::declarations::DivisionMode;
 use buckthornwinch::delivery::message::OrderRequest;
 use buckthornwinch::delivery::message::OrderResult;
 use buckthornwinch::delivery::owner::OwnerService;
@@ -22,9 +24,12 @@
 use tokio_util::sync::CancellationToken;
 use winch_test_support::fake_log::FakeLog;
 use winch_test_support::fleet::FleetLog;
+use winch_test_support::fleet::incarnation;
 use winch_test_support::owner::FakeGate;
 use winch_test_support::owner::order;
+use winch_test_support::records::change;
 use winch_test_support::records::key;
+use winch_test_support::records::service;
 use winch_test_support::records::slice;
 
 const KEY: &str = "shop-1";
@@ -39,6 +44,14 @@
 /// Takes an order for the key under a chain to its outcome, at a process whose
 /// gate is open and whose upstream is not announced.
 async fn handle_under(chain: ChainKey, state: FoldedState) -> OrderResult {
+    let order = OrderRequest {
+        chain,
+        ..order("urgent", "/")
+    };
+    handle_order(order, state).await
+}
+
+async fn handle_order(order: OrderRequest, state: FoldedState) -> OrderResult {
     let settings = FollowerSettings::builder().build();
     let follower = start_follower(FakeLog::new(1), FoldedState::default(), settings);
     assert!(follower.install(state).await);
@@ -55,10 +68,6 @@
         KeySampler::default(),
         follower,
     );
-    let order = OrderRequest {
-        chain,
-        ..order("urgent", "/")
-    };
     handler.handle(order, CancellationToken::new()).await
 }
 
@@ -90,3 +99,32 @@
 
     assert_eq!(kind_of(&result), Some(ErrorKind::NotOwner));
 }
+
+#[tokio::test]
+async fn work_divided_by_load_runs_under_the_chain_of_its_idempotency_key() {
+    let mut log = FleetLog::with_nodes(2);
+    let Declaration::Service(mut declaration) = service(SLICES, 1000) else {
+        unreachable!("the fixture is a service");
+    };
+    declaration.division = DivisionMode::Load;
+    log.append(
+        incarnation(1),
+        vec![change("by-load", 1, Declaration::Service(declaration))],
+    );
+    for index in 0..SLICES {
+        log.assign(&slice(index), &[1]);
+    }
+    let own = slice(slice_of(hash_key(b"attempt-7"), SLICES));
+
+    let result = handle_order(
+        OrderRequest {
+            chain: own,
+            idempotency_key: Some("attempt-7".into()),
+            ..order("urgent", "/")
+        },
+        log.state.clone(),
+    )
+    .await;
+
+    assert_ne!(kind_of(&result), Some(ErrorKind::NotOwner));
+}
