--- /dev/null
+++ b/src/node/limits.rs
@@ -0,0 +1,33 @@
+//! The parts' own limits, out of the settings.
+
+use crate::entry::server::EntryLimits;
+use crate::log::http::HttpLogSettings;
+use crate::ownership::timing::LeaseTiming;
+use crate::settings::NodeSettings;
+
+pub(super) fn log_settings(settings: &NodeSettings) -> HttpLogSettings {
+    HttpLogSettings::builder()
+        .base_url(settings.log.address.clone())
+        .read_timeout(settings.log.read_timeout)
+        .append_timeout(settings.log.append_timeout)
+        .build()
+}
+
+pub(super) fn lease_timing(settings: &NodeSettings) -> LeaseTiming {
+    LeaseTiming::builder()
+        .renew_interval(settings.lease.renew_interval)
+        .lease(settings.lease.lease)
+        .drift_margin(settings.lease.margin)
+        .tick_gap_limit(settings.lease.tick_gap)
+        .build()
+}
+
+pub(super) fn entry_limits(settings: &NodeSettings) -> EntryLimits {
+    EntryLimits::builder()
+        .connections(settings.limits.max_connections as usize)
+        .max_deadline(settings.limits.max_deadline)
+        .max_body(settings.limits.max_body_bytes as usize)
+        .header_timeout(settings.limits.header_timeout)
+        .body_timeout(settings.limits.body_timeout)
+        .build()
+}
--- /dev/null
+++ b/src/node/parts.rs
@@ -0,0 +1,232 @@
+//! The types of a process's parts, and the tasks that feed them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use xtra::Address;
+use xtra::Handler;
+use xtra::Mailbox;
+
+use super::backend::NodeBackend;
+use super::datagrams::NodeSender;
+use super::handler::NodeHandler;
+use super::inputs::NodeInputs;
+use super::observer::EntryObserver;
+use crate::base::ids::Epoch;
+use crate::base::ids::Incarnation;
+use crate::base::timer::TimerService;
+use crate::declarations::ClassDeclaration;
+use crate::declarations::Declaration;
+use crate::delivery::owner::OwnerService;
+use crate::handover::coordinator::HandoverCoordinator;
+use crate::handover::coordinator::HandoverInputs;
+use crate::handover::coordinator::ReadinessSource;
+use crate::hotkeys::report::KeySampler;
+use crate::hotkeys::report::QUIET_INTERVALS;
+use crate::hotkeys::report::REPORT_INTERVAL;
+use crate::log::http::HttpLogService;
+use crate::log::metered::MeteredLog;
+use crate::ownership::actor::LeaseActor;
+use crate::ownership::actor::ResignPositions;
+use crate::ownership::actor::StateChanged;
+use crate::ownership::gate::SystemClock;
+use crate::planner::actor::PlannerActor;
+use crate::planner::actor::PlannerStep;
+use crate::state::folded::FoldedState;
+use crate::state::record::ChainKey;
+use crate::transport::server::PeerServer;
+use crate::upstream::announce::UpstreamRegistry;
+
+/// Messages that may wait for a part.
+const MAILBOX: usize = 1024;
+
+/// How often leases are looked at.
+const LEASE_TICK: Duration = Duration::from_millis(50);
+
+/// Tells whether the lease is live and the upstream is there.
+#[derive(Debug, Clone)]
+pub(super) struct NodeReadiness {
+    pub(super) inputs: watch::Receiver<NodeInputs>,
+    pub(super) registry: UpstreamRegistry,
+}
+
+impl ReadinessSource for NodeReadiness {
+    fn is_ready(&self) -> bool {
+        let inputs = self.inputs.borrow();
+        let is_announced = self.registry.subscribe().borrow().is_some();
+        inputs.view.lease_live && !inputs.is_leaving && is_announced
+    }
+}
+
+pub(super) type NodeGate = crate::ownership::gate::LeaseGate<SystemClock>;
+pub(super) type NodeOwner = OwnerService<NodeGate>;
+pub(super) type NodeLease = LeaseActor<SystemClock, NodeSender>;
+pub(super) type NodeHandover = HandoverCoordinator<NodeSender, NodeReadiness>;
+pub(super) type NodeLog = MeteredLog<HttpLogService>;
+pub(super) type NodePlanner = PlannerActor<NodeLog, NodeSender>;
+
+pub(super) fn spawn_actor<A: xtra::Actor<Stop = ()>>(actor: A) -> Address<A> {
+    xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX))
+}
+
+pub(super) async fn serve_operators(
+    listener: TcpListener,
+    backend: NodeBackend<NodeLog>,
+    stop: CancellationToken,
+) {
+    if let Err(error) = crate::operator::server::serve(listener, backend, stop).await {
+        log::error!("operator: cannot serve: {error}");
+    }
+}
+
+/// Reports load to the planner: often while there are hot keys.
+pub(super) async fn report_load(own: Incarnation, sampler: KeySampler, sender: NodeSender) {
+    let mut ticks = TimerService.subscribe(REPORT_INTERVAL);
+    let mut quiet = 0;
+    loop {
+        let tick = ticks.next().await;
+        let summary = sampler.summarise(own, tick.since_last);
+        quiet = if summary.keys.is_empty() {
+            quiet + 1
+        } else {
+            0
+        };
+        if quiet % QUIET_INTERVALS == 0 {
+            sender.report_load(&summary);
+        }
+    }
+}
+
+/// Runs a task until it ends or `stop` fires.
+pub(super) async fn until(stop: CancellationToken, task: impl Future<Output = ()>) {
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = task => {}
+    }
+}
+
+pub(super) async fn tick_leases(lease: Address<NodeLease>) {
+    let mut ticks = TimerService.subscribe(LEASE_TICK);
+    loop {
+        let tick = ticks.next().await;
+        if lease.send(tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+pub(super) async fn send_ticks<A, M>(actor: Address<A>, period: Duration, make: impl Fn() -> M)
+where
+    A: Handler<M, Return = ()>,
+    M: Send + 'static,
+{
+    let mut ticks = TimerService.subscribe(period);
+    loop {
+        ticks.next().await;
+        if actor.send(make()).await.is_err() {
+            return;
+        }
+    }
+}
+
+pub(super) async fn follow_states(
+    mut states: watch::Receiver<Arc<FoldedState>>,
+    lease: Address<NodeLease>,
+) {
+    loop {
+        let state = Arc::clone(&states.borrow_and_update());
+        if lease.send(StateChanged(state)).await.is_err() || states.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+pub(super) async fn feed_actors(
+    own: Incarnation,
+    mut inputs: watch::Receiver<NodeInputs>,
+    handover: Address<NodeHandover>,
+    planner: Address<NodePlanner>,
+) {
+    loop {
+        let current = inputs.borrow_and_update().clone();
+        let is_drained = current
+            .state
+            .members
+            .get(&own)
+            .is_some_and(|member| member.draining);
+        let step = PlannerStep {
+            state: Arc::clone(&current.state),
+            ended: current.view.ended.clone(),
+        };
+        let handover_inputs = HandoverInputs {
+            state: current.state,
+            ended: current.view.ended.clone(),
+            is_leaving: current.is_leaving || is_drained,
+        };
+        let told = planner.send(step).await.is_ok() && handover.send(handover_inputs).await.is_ok();
+        if !told || inputs.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Resigns positions: at this process at once, in the log as soon as it takes
+/// them.
+pub(super) async fn resign(
+    mut resigns: mpsc::Receiver<Vec<(ChainKey, Epoch)>>,
+    lease: Address<NodeLease>,
+    reports: mpsc::Sender<Vec<(ChainKey, Epoch)>>,
+) {
+    while let Some(positions) = resigns.recv().await {
+        let told = lease.send(ResignPositions(positions.clone())).await;
+        if told.is_err() || reports.send(positions).await.is_err() {
+            return;
+        }
+    }
+}
+
+pub(super) async fn follow_classes(
+    mut inputs: watch::Receiver<NodeInputs>,
+    owner: Arc<NodeOwner>,
+    observer: EntryObserver,
+) {
+    let mut known = Vec::new();
+    loop {
+        let classes = declared_classes(&inputs.borrow_and_update().state);
+        if classes != known {
+            owner.set_classes(&classes);
+            observer.set_classes(&classes);
+            known = classes;
+        }
+        if inputs.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn declared_classes(state: &FoldedState) -> Vec<ClassDeclaration> {
+    let declarations = state
+        .objects
+        .values()
+        .filter_map(|object| object.declaration.as_ref());
+    declarations
+        .filter_map(|declaration| match declaration {
+            Declaration::PriorityClass(class) => Some(class.clone()),
+            Declaration::Service(_) | Declaration::OwnershipRule(_) => None,
+        })
+        .collect()
+}
+
+pub(super) async fn forget_entries(
+    mut inputs: watch::Receiver<NodeInputs>,
+    peers: PeerServer<NodeHandler<NodeGate>>,
+) {
+    while inputs.changed().await.is_ok() {
+        let state = Arc::clone(&inputs.borrow_and_update().state);
+        peers.retain_entries(|entry| !state.ended.contains(entry));
+    }
+}
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -1,18 +1,13 @@
 //! Binds the sockets and wires the parts of one incarnation.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use eyre::WrapErr;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use xtra::Address;
-use xtra::Handler;
-use xtra::Mailbox;
 
 use super::backend::NodeBackend;
 use super::backend::follow_offsets;
@@ -26,66 +21,65 @@
 use super::inputs::NodeInputs;
 use super::inputs::RouteKeeper;
 use super::inputs::join_inputs;
+use super::limits::entry_limits;
+use super::limits::lease_timing;
+use super::limits::log_settings;
+use super::listeners::NodeListeners;
 use super::local::serve_local;
 use super::membership::MembershipClerk;
 use super::observer::EntryObserver;
-use crate::base::ids::Epoch;
+use super::parts::NodeHandover;
+use super::parts::NodeLog;
+use super::parts::NodeOwner;
+use super::parts::NodePlanner;
+use super::parts::NodeReadiness;
+use super::parts::feed_actors;
+use super::parts::follow_classes;
+use super::parts::follow_states;
+use super::parts::forget_entries;
+use super::parts::report_load;
+use super::parts::resign;
+use super::parts::send_ticks;
+use super::parts::serve_operators;
+use super::parts::spawn_actor;
+use super::parts::tick_leases;
+use super::parts::until;
 use crate::base::ids::Incarnation;
 use crate::base::timer::TimerService;
-use crate::declarations::ClassDeclaration;
-use crate::declarations::Declaration;
 use crate::delivery::owner::OwnerService;
 use crate::delivery::settings::OwnerSettings;
 use crate::entry::dispatch::OrderDispatcher;
-use crate::entry::server::EntryLimits;
 use crate::entry::server::EntryServer;
 use crate::handover::activity::ChainActivity;
 use crate::handover::coordinator::HandoverCoordinator;
-use crate::handover::coordinator::HandoverInputs;
 use crate::handover::coordinator::HandoverTick;
-use crate::handover::coordinator::ReadinessSource;
 use crate::hotkeys::report::KeySampler;
-use crate::hotkeys::report::QUIET_INTERVALS;
-use crate::hotkeys::report::REPORT_INTERVAL;
 use crate::log::follower::FollowerSettings;
 use crate::log::follower::start_follower;
 use crate::log::http::HttpLogService;
-use crate::log::http::HttpLogSettings;
 use crate::log::metered::MeteredLog;
 use crate::log::snapshot_keeper::SnapshotKeeper;
 use crate::log::writer::WriterSettings;
 use crate::log::writer::start_writer;
 use crate::ownership::actor::LeaseActor;
-use crate::ownership::actor::ResignPositions;
-use crate::ownership::actor::StateChanged;
 use crate::ownership::gate::SystemClock;
-use crate::ownership::timing::LeaseTiming;
 use crate::planner::actor::PlannerActor;
-use crate::planner::actor::PlannerStep;
 use crate::planner::actor::PlannerTick;
 use crate::routing::table::RoutePublisher;
 use crate::settings::NodeSettings;
 use crate::state::folded::FoldedState;
-use crate::state::record::ChainKey;
 use crate::state::retention::SnapshotPolicy;
 use crate::telemetry::metrics::MetricRegistry;
-use crate::transport::datagram::DatagramSocket;
 use crate::transport::server::PeerServer;
 use crate::upstream::announce::UpstreamRegistry;
 use crate::upstream::http::HttpUpstream;
 
-/// Messages that may wait for a part.
-const MAILBOX: usize = 1024;
-
 /// Certificates and resignations that may wait for the log.
 const REPORT_QUEUE: usize = 1024;
 
 /// Largest answer of an upstream, in bytes.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
 
-/// How often leases are looked at.
-const LEASE_TICK: Duration = Duration::from_millis(50);
-
 /// How long the parts of an incarnation may take to stop.
 const STOP_LIMIT: Duration = Duration::from_secs(5);
 
@@ -114,62 +108,6 @@
     }
     Ok(())
 }
-
-struct NodeListeners {
-    callers: TcpListener,
-    peers: TcpListener,
-    local: TcpListener,
-    operators: TcpListener,
-    datagrams: DatagramSocket,
-}
-
-impl NodeListeners {
-    async fn bind(settings: &NodeSettings) -> eyre::Result<Self> {
-        let addresses = &settings.addresses;
-        Ok(Self {
-            callers: bind("callers", addresses.callers).await?,
-            peers: bind("peers", addresses.peers).await?,
-            local: bind("local", addresses.local).await?,
-            operators: bind("operators", addresses.operators).await?,
-            datagrams: DatagramSocket::bind(addresses.peers)
-                .await
-                .wrap_err_with(|| cannot_bind("peers", addresses.peers))?,
-        })
-    }
-}
-
-async fn bind(field: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| cannot_bind(field, address))
-}
-
-fn cannot_bind(field: &str, address: SocketAddr) -> String {
-    format!("cannot bind addresses.{field} {address}; free it or name another")
-}
-
-/// Tells whether the lease is live and the upstream is there.
-#[derive(Debug, Clone)]
-struct NodeReadiness {
-    inputs: watch::Receiver<NodeInputs>,
-    registry: UpstreamRegistry,
-}
-
-impl ReadinessSource for NodeReadiness {
-    fn is_ready(&self) -> bool {
-        let inputs = self.inputs.borrow();
-        let is_announced = self.registry.subscribe().borrow().is_some();
-        inputs.view.lease_live && !inputs.is_leaving && is_announced
-    }
-}
-
-type NodeGate = crate::ownership::gate::LeaseGate<SystemClock>;
-type NodeOwner = OwnerService<NodeGate>;
-type NodeLease = LeaseActor<SystemClock, NodeSender>;
-type NodeHandover = HandoverCoordinator<NodeSender, NodeReadiness>;
-type NodeLog = MeteredLog<HttpLogService>;
-type NodePlanner = PlannerActor<NodeLog, NodeSender>;
-
 /// The parts of one incarnation.
 struct NodeProcess {
     settings: Arc<NodeSettings>,
@@ -484,189 +422,3 @@
         drop(tokio::time::timeout(limit, self.entries.wait()).await);
     }
 }
-
-fn spawn_actor<A: xtra::Actor<Stop = ()>>(actor: A) -> Address<A> {
-    xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX))
-}
-
-async fn serve_operators(
-    listener: TcpListener,
-    backend: NodeBackend<NodeLog>,
-    stop: CancellationToken,
-) {
-    if let Err(error) = crate::operator::server::serve(listener, backend, stop).await {
-        log::error!("operator: cannot serve: {error}");
-    }
-}
-
-/// Reports load to the planner: often while there are hot keys.
-async fn report_load(own: Incarnation, sampler: KeySampler, sender: NodeSender) {
-    let mut ticks = TimerService.subscribe(REPORT_INTERVAL);
-    let mut quiet = 0;
-    loop {
-        let tick = ticks.next().await;
-        let summary = sampler.summarise(own, tick.since_last);
-        quiet = if summary.keys.is_empty() {
-            quiet + 1
-        } else {
-            0
-        };
-        if quiet % QUIET_INTERVALS == 0 {
-            sender.report_load(&summary);
-        }
-    }
-}
-
-/// Runs a task until it ends or `stop` fires.
-async fn until(stop: CancellationToken, task: impl Future<Output = ()>) {
-    tokio::select! {
-        () = stop.cancelled() => {}
-        () = task => {}
-    }
-}
-
-async fn tick_leases(lease: Address<NodeLease>) {
-    let mut ticks = TimerService.subscribe(LEASE_TICK);
-    loop {
-        let tick = ticks.next().await;
-        if lease.send(tick).await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn send_ticks<A, M>(actor: Address<A>, period: Duration, make: impl Fn() -> M)
-where
-    A: Handler<M, Return = ()>,
-    M: Send + 'static,
-{
-    let mut ticks = TimerService.subscribe(period);
-    loop {
-        ticks.next().await;
-        if actor.send(make()).await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn follow_states(mut states: watch::Receiver<Arc<FoldedState>>, lease: Address<NodeLease>) {
-    loop {
-        let state = Arc::clone(&states.borrow_and_update());
-        if lease.send(StateChanged(state)).await.is_err() || states.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn feed_actors(
-    own: Incarnation,
-    mut inputs: watch::Receiver<NodeInputs>,
-    handover: Address<NodeHandover>,
-    planner: Address<NodePlanner>,
-) {
-    loop {
-        let current = inputs.borrow_and_update().clone();
-        let is_drained = current
-            .state
-            .members
-            .get(&own)
-            .is_some_and(|member| member.draining);
-        let step = PlannerStep {
-            state: Arc::clone(&current.state),
-            ended: current.view.ended.clone(),
-        };
-        let handover_inputs = HandoverInputs {
-            state: current.state,
-            ended: current.view.ended.clone(),
-            is_leaving: current.is_leaving || is_drained,
-        };
-        let told = planner.send(step).await.is_ok() && handover.send(handover_inputs).await.is_ok();
-        if !told || inputs.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Resigns positions: at this process at once, in the log as soon as it takes
-/// them.
-async fn resign(
-    mut resigns: mpsc::Receiver<Vec<(ChainKey, Epoch)>>,
-    lease: Address<NodeLease>,
-    reports: mpsc::Sender<Vec<(ChainKey, Epoch)>>,
-) {
-    while let Some(positions) = resigns.recv().await {
-        let told = lease.send(ResignPositions(positions.clone())).await;
-        if told.is_err() || reports.send(positions).await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn follow_classes(
-    mut inputs: watch::Receiver<NodeInputs>,
-    owner: Arc<NodeOwner>,
-    observer: EntryObserver,
-) {
-    let mut known = Vec::new();
-    loop {
-        let classes = declared_classes(&inputs.borrow_and_update().state);
-        if classes != known {
-            owner.set_classes(&classes);
-            observer.set_classes(&classes);
-            known = classes;
-        }
-        if inputs.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-fn declared_classes(state: &FoldedState) -> Vec<ClassDeclaration> {
-    let declarations = state
-        .objects
-        .values()
-        .filter_map(|object| object.declaration.as_ref());
-    declarations
-        .filter_map(|declaration| match declaration {
-            Declaration::PriorityClass(class) => Some(class.clone()),
-            Declaration::Service(_) | Declaration::OwnershipRule(_) => None,
-        })
-        .collect()
-}
-
-async fn forget_entries(
-    mut inputs: watch::Receiver<NodeInputs>,
-    peers: PeerServer<NodeHandler<NodeGate>>,
-) {
-    while inputs.changed().await.is_ok() {
-        let state = Arc::clone(&inputs.borrow_and_update().state);
-        peers.retain_entries(|entry| !state.ended.contains(entry));
-    }
-}
-
-fn log_settings(settings: &NodeSettings) -> HttpLogSettings {
-    HttpLogSettings::builder()
-        .base_url(settings.log.address.clone())
-        .read_timeout(settings.log.read_timeout)
-        .append_timeout(settings.log.append_timeout)
-        .build()
-}
-
-fn lease_timing(settings: &NodeSettings) -> LeaseTiming {
-    LeaseTiming::builder()
-        .renew_interval(settings.lease.renew_interval)
-        .lease(settings.lease.lease)
-        .drift_margin(settings.lease.margin)
-        .tick_gap_limit(settings.lease.tick_gap)
-        .build()
-}
-
-fn entry_limits(settings: &NodeSettings) -> EntryLimits {
-    EntryLimits::builder()
-        .connections(settings.limits.max_connections as usize)
-        .max_deadline(settings.limits.max_deadline)
-        .max_body(settings.limits.max_body_bytes as usize)
-        .header_timeout(settings.limits.header_timeout)
-        .body_timeout(settings.limits.body_timeout)
-        .build()
-}
