--- a/src/node/figures.rs
+++ b/src/node/figures.rs
@@ -9,7 +9,6 @@
 use crate::admission::load::OwnerLoad;
 use crate::base::ids::Incarnation;
 use crate::base::timer::TimerService;
-use crate::declarations::Declaration;
 use crate::log::follower::FollowerHandle;
 use crate::log::metered::MeteredLog;
 use crate::log::service::LogService;
@@ -124,13 +123,11 @@
     }
 
     fn keep_imbalance(&self, inputs: &NodeInputs) {
-        for object in inputs.state.objects.values() {
-            if let Some(Declaration::Service(service)) = &object.declaration {
-                let tally = SliceTally::count(route_inputs(inputs), service);
-                let eligible = candidates(&inputs.state, &service.name, &inputs.view.ended);
-                let imbalance = tally.imbalance(&eligible);
-                self.metrics.planner.set_imbalance(&service.name, imbalance);
-            }
+        for service in inputs.state.services() {
+            let tally = SliceTally::count(route_inputs(inputs), service);
+            let eligible = candidates(&inputs.state, &service.name, &inputs.view.ended);
+            let imbalance = tally.imbalance(&eligible);
+            self.metrics.planner.set_imbalance(&service.name, imbalance);
         }
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod backend;
 pub mod catch_up;
+mod context;
 pub mod datagrams;
 pub mod figures;
 pub mod handler;
--- a/src/node/parts.rs
+++ b/src/node/parts.rs
@@ -19,8 +19,6 @@
 use crate::base::ids::Epoch;
 use crate::base::ids::Incarnation;
 use crate::base::timer::TimerService;
-use crate::declarations::ClassDeclaration;
-use crate::declarations::Declaration;
 use crate::delivery::owner::OwnerService;
 use crate::handover::coordinator::HandoverCoordinator;
 use crate::handover::coordinator::HandoverInputs;
@@ -196,7 +194,12 @@
 ) {
     let mut known = Vec::new();
     loop {
-        let classes = declared_classes(&inputs.borrow_and_update().state);
+        let classes = inputs
+            .borrow_and_update()
+            .state
+            .classes()
+            .cloned()
+            .collect::<Vec<_>>();
         if classes != known {
             owner.set_classes(&classes);
             observer.set_classes(&classes);
@@ -208,19 +211,6 @@
     }
 }
 
-fn declared_classes(state: &FoldedState) -> Vec<ClassDeclaration> {
-    let declarations = state
-        .objects
-        .values()
-        .filter_map(|object| object.declaration.as_ref());
-    declarations
-        .filter_map(|declaration| match declaration {
-            Declaration::PriorityClass(class) => Some(class.clone()),
-            Declaration::Service(_) | Declaration::OwnershipRule(_) => None,
-        })
-        .collect()
-}
-
 pub(super) async fn forget_entries(
     mut inputs: watch::Receiver<NodeInputs>,
     peers: PeerServer<NodeHandler<NodeGate>>,
--- a/src/planner/actor.rs
+++ b/src/planner/actor.rs
@@ -23,7 +23,6 @@
 use crate::base::ids::Incarnation;
 use crate::base::ids::Offset;
 use crate::base::ids::Term;
-use crate::declarations::Declaration;
 use crate::hotkeys::board::KeyMove;
 use crate::hotkeys::board::LoadBoard;
 use crate::hotkeys::report::LoadSummary;
@@ -182,10 +181,7 @@
         }
         self.hot_keys_chosen = now;
         let mut moves = Vec::new();
-        for object in self.state.objects.values() {
-            let Some(Declaration::Service(service)) = &object.declaration else {
-                continue;
-            };
+        for service in self.state.services() {
             let members: Vec<Incarnation> = candidates(&self.state, &service.name, &self.ended)
                 .iter()
                 .map(|candidate| candidate.incarnation)
--- a/src/planner/placement.rs
+++ b/src/planner/placement.rs
@@ -5,7 +5,6 @@
 use crate::base::hash::pair_score;
 use crate::base::ids::DomainName;
 use crate::base::ids::Incarnation;
-use crate::declarations::Declaration;
 use crate::declarations::RuleDeclaration;
 use crate::state::folded::FoldedState;
 use crate::state::folded::MemberState;
@@ -37,7 +36,7 @@
     service: &str,
     ended: &FastSet<Incarnation>,
 ) -> Vec<PlacementCandidate> {
-    let rules = rules_of(state, service);
+    let rules: Vec<&RuleDeclaration> = state.rules_of(service).collect();
     let eligible = state
         .members
         .values()
@@ -48,19 +47,6 @@
     eligible.map(candidate).collect()
 }
 
-fn rules_of<'a>(state: &'a FoldedState, service: &str) -> Vec<&'a RuleDeclaration> {
-    let declarations = state
-        .objects
-        .values()
-        .filter_map(|object| object.declaration.as_ref());
-    declarations
-        .filter_map(|declaration| match declaration {
-            Declaration::OwnershipRule(rule) if rule.service.as_ref() == service => Some(rule),
-            _ => None,
-        })
-        .collect()
-}
-
 fn allows(rule: &RuleDeclaration, member: &MemberState) -> bool {
     let domain = rule.domains.is_empty() || rule.domains.contains(&member.info.domain);
     let region = rule.regions.is_empty() || rule.regions.contains(&member.info.region);
--- a/src/planner/plan.rs
+++ b/src/planner/plan.rs
@@ -13,7 +13,6 @@
 use crate::base::ids::Epoch;
 use crate::base::ids::Incarnation;
 use crate::base::ids::Term;
-use crate::declarations::Declaration;
 use crate::declarations::ServiceDeclaration;
 use crate::hotkeys::board::KeyMove;
 use crate::state::folded::FoldedState;
@@ -55,10 +54,8 @@
 pub fn plan(inputs: PlanInputs<'_>) -> Vec<LogRecord> {
     let mut records = plan_witnesses(inputs);
     let mut appends = Vec::new();
-    for object in inputs.state.objects.values() {
-        if let Some(Declaration::Service(service)) = &object.declaration {
-            appends.extend(plan_service(inputs, service));
-        }
+    for service in inputs.state.services() {
+        appends.extend(plan_service(inputs, service));
     }
     for part in appends.chunks(APPENDS_PER_RECORD) {
         records.push(LogRecord::Assign {
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -1,6 +1,5 @@
 //! The table that the request path routes by.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
@@ -17,7 +16,6 @@
 use crate::base::ids::Offset;
 use crate::base::ids::ServiceName;
 use crate::declarations::ClassDeclaration;
-use crate::declarations::Declaration;
 use crate::declarations::ServiceDeclaration;
 use crate::state::folded::FoldedState;
 use crate::state::folded::HolderChain;
@@ -143,15 +141,13 @@
     }
 
     fn add_objects(&mut self, state: &FoldedState) {
-        for object in state.objects.values() {
-            match &object.declaration {
-                Some(Declaration::Service(service)) => self.add_service(service),
-                Some(Declaration::PriorityClass(class)) => {
-                    self.classes.insert(class.name.clone(), class.clone());
-                }
-                Some(Declaration::OwnershipRule(_)) | None => {}
-            }
+        for service in state.services() {
+            self.add_service(service);
         }
+        self.classes = state
+            .classes()
+            .map(|class| (class.name.clone(), class.clone()))
+            .collect();
     }
 
     fn add_service(&mut self, service: &ServiceDeclaration) {
@@ -189,17 +185,6 @@
             }
         }
     }
-
-    /// Counts the chains that each owner serves.
-    pub fn chains_by_owner(&self) -> BTreeMap<Incarnation, usize> {
-        let mut counts = BTreeMap::new();
-        for service in self.services.values() {
-            for owner in service.slices.iter().flatten() {
-                *counts.entry(owner.owner).or_default() += 1;
-            }
-        }
-        counts
-    }
 }
 
 /// Returns the first position that neither resigned nor ended.
--- a/src/state/folded.rs
+++ b/src/state/folded.rs
@@ -15,8 +15,11 @@
 use crate::base::ids::Sequence;
 use crate::base::ids::Term;
 use crate::base::ids::Version;
+use crate::declarations::ClassDeclaration;
 use crate::declarations::Declaration;
 use crate::declarations::ObjectKey;
+use crate::declarations::RuleDeclaration;
+use crate::declarations::ServiceDeclaration;
 
 /// One position of a chain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -176,3 +179,39 @@
     /// Verdicts on the latest changes, oldest first.
     pub verdicts: Vec<(ChangeId, ChangeVerdict)>,
 }
+
+impl FoldedState {
+    /// Returns the declarations in force.
+    pub fn declarations(&self) -> impl Iterator<Item = &Declaration> {
+        self.objects
+            .values()
+            .filter_map(|object| object.declaration.as_ref())
+    }
+
+    /// Returns the declared services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceDeclaration> {
+        self.declarations()
+            .filter_map(|declaration| match declaration {
+                Declaration::Service(service) => Some(service),
+                Declaration::PriorityClass(_) | Declaration::OwnershipRule(_) => None,
+            })
+    }
+
+    /// Returns the declared priority classes.
+    pub fn classes(&self) -> impl Iterator<Item = &ClassDeclaration> {
+        self.declarations()
+            .filter_map(|declaration| match declaration {
+                Declaration::PriorityClass(class) => Some(class),
+                Declaration::Service(_) | Declaration::OwnershipRule(_) => None,
+            })
+    }
+
+    /// Returns the ownership rules of a service.
+    pub fn rules_of(&self, service: &str) -> impl Iterator<Item = &RuleDeclaration> {
+        self.declarations()
+            .filter_map(move |declaration| match declaration {
+                Declaration::OwnershipRule(rule) if rule.service.as_ref() == service => Some(rule),
+                _ => None,
+            })
+    }
+}
