--- a/crates/winch-bench/src/experiments/mod.rs
+++ b/crates/winch-bench/src/experiments/mod.rs
@@ -7,6 +7,7 @@
 mod orders;
 mod probe;
 pub mod quickstart;
+mod rolling;
 mod slopes;
 mod steady;
 mod support;
@@ -42,6 +43,8 @@
     FloodLow,
     /// A flood of lookups.
     FloodHigh,
+    /// Every owner restarts in turn.
+    Rolling,
     /// What sizes cost.
     Slopes,
 }
@@ -59,7 +62,7 @@
 
 impl ExperimentName {
     /// Every experiment, in the order of `run all`.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Steady,
         Self::Takeover,
         Self::TakeoverLogDown,
@@ -69,6 +72,7 @@
         Self::Classes,
         Self::FloodLow,
         Self::FloodHigh,
+        Self::Rolling,
         Self::Slopes,
     ];
 
@@ -84,6 +88,7 @@
             Self::Classes => "classes",
             Self::FloodLow => "flood-low",
             Self::FloodHigh => "flood-high",
+            Self::Rolling => "rolling",
             Self::Slopes => "slopes",
         }
     }
@@ -99,6 +104,7 @@
             Self::Orders => "orders repeated while owners are killed, frozen and answers lost",
             Self::Classes => "mixed load at 95 % of an owner's capacity",
             Self::FloodLow => "work that may wait at 10 times an owner's capacity",
+            Self::Rolling => "every owner drains and starts again in turn, under load",
             Self::Slopes => "fold, plan, snapshot and datagrams against members and slices",
             Self::FloodHigh => "lookups at 10 times an owner's capacity",
         }
@@ -133,6 +139,7 @@
             Self::Orders => orders::run(context).await,
             Self::Classes => flood::run(context, self.as_str(), FloodKind::Classes).await,
             Self::FloodLow => flood::run(context, self.as_str(), FloodKind::Low).await,
+            Self::Rolling => rolling::run(context).await,
             Self::Slopes => slopes::run(context).await,
             Self::FloodHigh => flood::run(context, self.as_str(), FloodKind::High).await,
         }
