--- a/crates/winch-bench/src/experiments/rolling.rs
+++ b/crates/winch-bench/src/experiments/rolling.rs
@@ -57,7 +57,7 @@
     let mut periods = Vec::new();
     let mut longest_drain = Duration::ZERO;
     for node in owners(&fleet, &deployment) {
-        let generator = LoadGenerator::start(streams(&fleet, &deployment), context.seed);
+        let generator = LoadGenerator::start(streams(&fleet, &deployment, node), context.seed);
         tokio::time::sleep(TIME_BEFORE).await;
         let told = unix_micros();
         let drain = leave(&mut fleet, node).await?;
@@ -75,9 +75,14 @@
             "rolling: {name} left after {:.0} ms",
             drain.as_secs_f64() * 1e3
         );
+        let first = load.streams.len();
+        for record in &mut outcome.records {
+            record.stream += first;
+        }
+        load.streams.append(&mut outcome.streams);
         load.records.append(&mut outcome.records);
     }
-    add_figures(&mut result, &fleet, &deployment, &load, &periods)?;
+    add_figures(&mut result, &fleet, &load, &periods)?;
     result.figure("longest_drain_ms", longest_drain.as_secs_f64() * 1e3);
     add_promises(&mut result, &fleet, records, load)?;
     Ok(result)
@@ -91,7 +96,7 @@
 }
 
 /// Lookups and orders, by way of nodes that are not restarted.
-fn streams(fleet: &FleetHarness, deployment: &DeploymentSize) -> Vec<TrafficStream> {
+fn streams(fleet: &FleetHarness, deployment: &DeploymentSize, round: usize) -> Vec<TrafficStream> {
     let entries: Arc<[_]> = fleet
         .nodes_of(deployment.service(WorkKind::Batch).name)
         .into_iter()
@@ -101,7 +106,7 @@
     let streams = kinds.map(|kind| {
         let service = deployment.service(kind);
         TrafficStream::builder()
-            .name(service.name)
+            .name(format!("{}-{round}", service.name))
             .service(service.name)
             .class(service.class)
             .rate(RATE)
@@ -138,18 +143,16 @@
 fn add_figures(
     result: &mut ExperimentResult,
     fleet: &FleetHarness,
-    deployment: &DeploymentSize,
     load: &LoadOutcome,
     periods: &[LeavePeriod],
 ) -> eyre::Result<()> {
-    let summaries = summarize(load, 0, u64::MAX);
     let mut cut = 0;
-    for kind in [WorkKind::Lookup, WorkKind::Order] {
-        let name = deployment.service(kind).name;
-        let summary = &summaries[name];
+    let mut worst_share = 1.0_f64;
+    for summary in summarize(load, 0, u64::MAX).values() {
         cut += summary.ended(AttemptEnd::Unknown) + summary.ended(AttemptEnd::Broken);
-        result.figure(format!("{name}.success_share"), summary.success_share());
+        worst_share = worst_share.min(summary.success_share());
     }
+    result.figure("worst_success_share", worst_share);
     result.at_most("cut_requests", cut as f64, 0.0);
     let late = late_starts(fleet, periods)?;
     result.at_most("new_work_after_2_s", late as f64, 0.0);
