state, node: tell in one place which positions of a chain may still serve

Routing, planning and handover each filtered a chain's positions by the same three conditions; the fold's own test of a passed position now serves them all. The process asked in the same eight lines twice whether it is a member.

--- a/src/handover/duty.rs
+++ b/src/handover/duty.rs
@@ -29,7 +29,7 @@
     let mut duties = Vec::new();
     for (key, chain) in &state.chains {
         if is_leaving || chain.target > chain.base {
-            let active = active_positions(state, ended, chain);
+            let active = state.active_positions(chain, ended).collect::<Vec<_>>();
             add_duties(
                 &mut duties,
                 &active,
@@ -42,18 +42,6 @@
     duties
 }
 
-fn active_positions(
-    state: &FoldedState,
-    ended: &FastSet<Incarnation>,
-    chain: &HolderChain,
-) -> Vec<(Epoch, Incarnation)> {
-    (chain.base..)
-        .zip(&chain.entries)
-        .filter(|(_epoch, entry)| !state.is_passed(entry) && !ended.contains(&entry.holder))
-        .map(|(epoch, entry)| (epoch, entry.holder))
-        .collect()
-}
-
 /// Returns the position that the earlier ones resign in favour of.
 fn keeper(
     active: &[(Epoch, Incarnation)],
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -155,18 +155,16 @@
         self.stop().await;
     }
 
+    fn is_member(&self) -> bool {
+        let inputs = self.context.inputs.borrow();
+        inputs.state.members.contains_key(&self.context.own)
+    }
+
     /// Moves every chain away, finishes what runs and leaves.
     async fn leave(&self) {
         let limit = self.context.settings.drain.timeout;
         self.leaving.send_replace(true);
-        if self
-            .context
-            .inputs
-            .borrow()
-            .state
-            .members
-            .contains_key(&self.context.own)
-        {
+        if self.is_member() {
             self.clerk.announce_drain().await;
             self.clerk.wait_until_moved(limit).await;
         }
@@ -180,14 +178,7 @@
         if tokio::time::timeout(limit, finished).await.is_err() {
             log::warn!("node: leaving with requests that still run");
         }
-        if self
-            .context
-            .inputs
-            .borrow()
-            .state
-            .members
-            .contains_key(&self.context.own)
-        {
+        if self.is_member() {
             self.clerk.leave().await;
         }
     }
--- a/src/planner/plan.rs
+++ b/src/planner/plan.rs
@@ -116,7 +116,7 @@
         Self {
             hash: chain_hash(&key),
             active: chain
-                .map(|chain| active_positions(inputs, chain))
+                .map(|chain| inputs.state.active_positions(chain, inputs.ended).collect())
                 .unwrap_or_default(),
             key,
             chain,
@@ -150,16 +150,6 @@
     }
 }
 
-fn active_positions(inputs: PlanInputs<'_>, chain: &HolderChain) -> Vec<(Epoch, Incarnation)> {
-    let positions = (chain.base..).zip(&chain.entries);
-    positions
-        .filter(|(_epoch, entry)| !entry.resigned)
-        .filter(|(_epoch, entry)| inputs.state.members.contains_key(&entry.holder))
-        .filter(|(_epoch, entry)| !inputs.ended.contains(&entry.holder))
-        .map(|(epoch, entry)| (epoch, entry.holder))
-        .collect()
-}
-
 fn plan_service(inputs: PlanInputs<'_>, service: &ServiceDeclaration) -> Vec<ChainAppend> {
     let candidates = candidates(inputs.state, &service.name, inputs.ended);
     if candidates.is_empty() {
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -193,18 +193,13 @@
     chain: &HolderChain,
     inputs: RouteInputs<'_>,
 ) -> Option<OwnerRoute> {
-    let positions = chain.entries.iter().zip(chain.base..);
-    positions
-        .filter(|(entry, _epoch)| !entry.resigned)
-        .filter(|(entry, _epoch)| inputs.state.members.contains_key(&entry.holder))
-        .filter(|(entry, _epoch)| !inputs.ended.contains(&entry.holder))
-        .find(|(_entry, epoch)| {
+    inputs
+        .state
+        .active_positions(chain, inputs.ended)
+        .find(|(epoch, _owner)| {
             inputs.resigned.is_empty() || !inputs.resigned.contains(&(key.clone(), *epoch))
         })
-        .map(|(entry, epoch)| OwnerRoute {
-            owner: entry.holder,
-            epoch,
-        })
+        .map(|(epoch, owner)| OwnerRoute { owner, epoch })
 }
 
 /// Publishes the table. Cloning shares it.
--- a/src/state/fold_chain.rs
+++ b/src/state/fold_chain.rs
@@ -16,6 +16,7 @@
 use super::record::ChainKey;
 use super::record::ChainSubject;
 use super::record::MemberInfo;
+use crate::base::collections::FastSet;
 use crate::base::hash::slice_of;
 use crate::base::ids::Epoch;
 use crate::base::ids::Incarnation;
@@ -34,6 +35,19 @@
         entry.resigned || !self.members.contains_key(&entry.holder)
     }
 
+    /// Returns the positions that may still serve, in order: neither passed nor
+    /// held by one of `ended`, members known to have ended beyond the fold.
+    pub fn active_positions(
+        &self,
+        chain: &HolderChain,
+        ended: &FastSet<Incarnation>,
+    ) -> impl Iterator<Item = (Epoch, Incarnation)> {
+        (chain.base..)
+            .zip(&chain.entries)
+            .filter(|(_, entry)| !self.is_passed(entry) && !ended.contains(&entry.holder))
+            .map(|(epoch, entry)| (epoch, entry.holder))
+    }
+
     /// Returns the first position that has not been passed, which may serve
     /// while its holder's lease is live.
     pub fn serving(&self, chain: &HolderChain) -> Option<(Epoch, Incarnation)> {
