--- a/crates/winch-test-support/src/owner.rs
+++ b/crates/winch-test-support/src/owner.rs
@@ -240,6 +240,7 @@
         key: "shop-1".into(),
         class: class.into(),
         remaining: Some(Duration::from_secs(1)),
+        target: None,
         idempotency_key: None,
         attempt: 1,
         caller: "screen-1".into(),
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -10,6 +10,7 @@
 pub mod actor;
 pub mod class_queue;
 pub mod class_state;
+pub mod deadline_queue;
 pub mod entry_limiter;
 pub mod failing;
 pub mod limit;
@@ -17,3 +18,4 @@
 pub mod permit;
 pub mod rate_meter;
 pub mod scheduler;
+pub mod slot_queue;
--- a/src/base/ids.rs
+++ b/src/base/ids.rs
@@ -51,3 +51,6 @@
 
 /// A caller's idempotency key.
 pub type IdempotencyKey = Box<str>;
+
+/// Names one life of an upstream.
+pub type InstanceId = Box<str>;
--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -1,6 +1,7 @@
 //! Identifiers, hashing, time, documents and error kinds shared by every
 //! slice.
 
+pub mod boot_clock;
 pub mod collections;
 pub mod document;
 pub mod error;
--- a/src/delivery/failure.rs
+++ b/src/delivery/failure.rs
@@ -71,7 +71,7 @@
 pub fn call_failure(error: CallError) -> OrderFailure {
     match error {
         // Proof of "not run": no connection was made, so no byte was sent.
-        CallError::NotSent => refusal(
+        CallError::NotSent | CallError::Gone => refusal(
             ErrorKind::UpstreamRefused,
             "the upstream took no connection",
         ),
--- a/src/delivery/message.rs
+++ b/src/delivery/message.rs
@@ -28,6 +28,9 @@
     /// Time left until the deadline when the message was sent; none for work
     /// that may wait.
     pub remaining: Option<Duration>,
+    /// Time left until the latency target when the message was sent; none if
+    /// the class says it.
+    pub target: Option<Duration>,
     /// The idempotency key.
     pub idempotency_key: Option<IdempotencyKey>,
     /// Which attempt this is, from 1. An attempt that was answered "not run"
--- a/src/delivery/owner.rs
+++ b/src/delivery/owner.rs
@@ -387,7 +387,7 @@
     match result {
         Ok(answer) if answer.status >= SERVER_ERROR => SlotVerdict::Failed,
         Ok(_) => SlotVerdict::Answered,
-        Err(CallError::Refused | CallError::NotSent) => SlotVerdict::Shed,
+        Err(CallError::Refused | CallError::NotSent | CallError::Gone) => SlotVerdict::Shed,
         Err(CallError::Lost | CallError::Truncated) => SlotVerdict::Lost,
     }
 }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -228,6 +228,7 @@
         key: head.key,
         class: head.class,
         remaining: head.deadline,
+        target: None,
         idempotency_key: head.idempotency_key,
         attempt: head.attempt,
         caller: head.caller,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,9 @@
 //! * [`operator`]: the operators' interface.
 //! * [`settings`]: the settings of a process.
 //! * [`telemetry`]: logs and metrics.
+//! * [`routes`], [`store`], [`ranges`], [`peers`], [`placement`]: what a
+//!   sidecar of a mesh rests on.
+//! * [`sidecar`]: one whole process of a mesh.
 //! * [`node`]: one whole process.
 
 pub mod admission;
@@ -39,10 +42,16 @@
 pub mod node;
 pub mod operator;
 pub mod ownership;
+pub mod peers;
+pub mod placement;
 pub mod planner;
+pub mod ranges;
+pub mod routes;
 pub mod routing;
 pub mod settings;
+pub mod sidecar;
 pub mod state;
+pub mod store;
 pub mod telemetry;
 pub mod transport;
 pub mod upstream;
--- a/src/node/identity.rs
+++ b/src/node/identity.rs
@@ -8,6 +8,13 @@
 /// Bits of an incarnation that are random.
 const RANDOM_BITS: u32 = 12;
 
+/// Returns a new incarnation that is greater than a former one of this VM, even
+/// if the VM's clock was set back.
+pub fn next_incarnation(former: Option<Incarnation>) -> Incarnation {
+    let next = new_incarnation();
+    former.map_or(next, |former| next.max(former + 1))
+}
+
 /// Returns a new incarnation: greater than every one that started before on
 /// this VM, unless the VM's clock was set back.
 pub fn new_incarnation() -> Incarnation {
--- /dev/null
+++ b/src/peers/directory.rs
@@ -0,0 +1,151 @@
+//! The members that are known, and their newest reports.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::message::MemberRecord;
+use super::message::PeerReport;
+use super::message::UpstreamGauge;
+use super::message::UpstreamPhase;
+use crate::base::ids::Incarnation;
+use crate::base::ids::NodeName;
+use crate::base::ids::Offset;
+use crate::base::ids::Version;
+
+/// A member without a report for so many report intervals is silent. Two lost
+/// datagrams in a row are common on a link that drops some.
+const SILENT_INTERVALS: u32 = 3;
+
+/// One known member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownPeer {
+    /// What it announced.
+    pub member: MemberRecord,
+    /// Its upstream, by its newest report.
+    pub gauge: UpstreamGauge,
+    /// Version of the configuration in force there.
+    pub configuration: Version,
+    /// Offset of the newest range map it knows.
+    pub map: Offset,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    number: u64,
+    heard: Option<Duration>,
+}
+
+impl KnownPeer {
+    fn announced(member: MemberRecord) -> Self {
+        Self {
+            member,
+            gauge: UpstreamGauge::default(),
+            configuration: 0,
+            map: 0,
+            leaving: false,
+            number: 0,
+            heard: None,
+        }
+    }
+
+    /// Tells whether its upstream takes new requests, by its own word.
+    pub fn takes_requests(&self) -> bool {
+        self.gauge.phase == UpstreamPhase::Ready && !self.leaving
+    }
+
+    /// Returns when it was last heard.
+    pub fn heard(&self) -> Option<Duration> {
+        self.heard
+    }
+}
+
+/// The other members.
+#[derive(Debug, Clone)]
+pub struct PeerDirectory {
+    own: Incarnation,
+    peers: BTreeMap<NodeName, KnownPeer>,
+}
+
+impl PeerDirectory {
+    /// Creates the directory of a process.
+    pub fn new(own: Incarnation) -> Self {
+        Self {
+            own,
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes what a member announced in the store. True if it is news.
+    pub fn announce(&mut self, member: MemberRecord) -> bool {
+        if member.incarnation == self.own {
+            return false;
+        }
+        let known = self.peers.get(&member.node);
+        if known.is_some_and(|peer| peer.member.incarnation >= member.incarnation) {
+            return false;
+        }
+        let node = member.node.clone();
+        self.peers.insert(node, KnownPeer::announced(member));
+        true
+    }
+
+    /// Forgets a member that left for good.
+    pub fn remove(&mut self, node: &str) {
+        self.peers.remove(node);
+    }
+
+    /// Takes a report. True if the member, or what it takes, is news.
+    pub fn report(&mut self, report: PeerReport, now: Duration) -> bool {
+        let incarnation = report.member.incarnation;
+        if incarnation == self.own {
+            return false;
+        }
+        let node = report.member.node.clone();
+        let is_new = self.announce(report.member);
+        let Some(peer) = self.peers.get_mut(&node) else {
+            return false;
+        };
+        let outdated = peer.member.incarnation != incarnation || peer.number > report.number;
+        if outdated {
+            return is_new;
+        }
+        let took = peer.takes_requests();
+        peer.gauge = report.gauge;
+        peer.configuration = report.configuration;
+        peer.map = report.map;
+        peer.leaving = report.leaving;
+        peer.number = report.number;
+        let was_heard = peer.heard.replace(now).is_some();
+        is_new || !was_heard || took != peer.takes_requests()
+    }
+
+    /// Returns every known member but this process.
+    pub fn peers(&self) -> impl Iterator<Item = &KnownPeer> {
+        self.peers.values()
+    }
+
+    /// Finds a member by its incarnation.
+    pub fn find(&self, incarnation: Incarnation) -> Option<&KnownPeer> {
+        self.peers
+            .values()
+            .find(|peer| peer.member.incarnation == incarnation)
+    }
+
+    /// Tells whether a member has reported lately, at an interval between
+    /// reports.
+    pub fn is_live(&self, incarnation: Incarnation, now: Duration, interval: Duration) -> bool {
+        self.find(incarnation)
+            .is_some_and(|peer| is_fresh(peer, now, interval))
+    }
+
+    /// Returns the members that have reported lately.
+    pub fn live(&self, now: Duration, interval: Duration) -> impl Iterator<Item = &KnownPeer> {
+        self.peers
+            .values()
+            .filter(move |peer| is_fresh(peer, now, interval))
+    }
+}
+
+/// Tells whether a member's newest report is fresh.
+pub fn is_fresh(peer: &KnownPeer, now: Duration, interval: Duration) -> bool {
+    peer.heard
+        .is_some_and(|heard| now.saturating_sub(heard) <= interval * SILENT_INTERVALS)
+}
--- /dev/null
+++ b/src/ranges/heat.rs
@@ -0,0 +1,88 @@
+//! Where the requests of an owner's keys fall.
+
+use super::RangeKey;
+use super::map::KeyRange;
+use crate::base::collections::FastMap;
+
+/// Counts below this are forgotten at the next decay.
+const FORGOTTEN: f32 = 0.2;
+
+/// A window is good enough to give away if it holds this part of what may be
+/// given; among those the narrowest is taken.
+const GOOD_PART: f32 = 0.7;
+
+/// Request counts by key, halved at every decay, so that they follow the last
+/// few decay intervals.
+#[derive(Debug, Clone, Default)]
+pub struct KeyHeat {
+    counts: FastMap<RangeKey, f32>,
+}
+
+impl KeyHeat {
+    /// Counts a request.
+    pub fn count(&mut self, key: RangeKey) {
+        *self.counts.entry(key).or_default() += 1.0;
+    }
+
+    /// Halves every count.
+    pub fn decay(&mut self) {
+        self.counts.retain(|_key, count| {
+            *count /= 2.0;
+            *count >= FORGOTTEN
+        });
+    }
+
+    /// Returns the sum of all counts.
+    pub fn total(&self) -> f32 {
+        self.counts.values().sum()
+    }
+
+    /// Finds the narrowest run of keys inside one of `ranges` that holds close
+    /// to `part` of all counts, and no more; none if every run holds much less,
+    /// as when one key alone holds more.
+    pub fn window(&self, ranges: &[KeyRange], part: f32) -> Option<(RangeKey, RangeKey)> {
+        let allowed = self.total() * part;
+        let mut sorted: Vec<(RangeKey, f32)> = self.counts.iter().map(|(k, c)| (*k, *c)).collect();
+        sorted.sort_unstable_by_key(|(key, _count)| *key);
+        let windows = ranges
+            .iter()
+            .flat_map(|range| range_windows(&sorted, range, allowed));
+        let good = windows.filter(|window| window.heat >= allowed * GOOD_PART);
+        good.min_by_key(|window| window.last - window.first)
+            .map(|window| (window.first, window.last))
+    }
+}
+
+struct HeatWindow {
+    first: RangeKey,
+    last: RangeKey,
+    heat: f32,
+}
+
+/// Returns, for each key of a range, the longest window that starts there and
+/// holds at most `allowed`.
+fn range_windows(sorted: &[(RangeKey, f32)], range: &KeyRange, allowed: f32) -> Vec<HeatWindow> {
+    let from = sorted.partition_point(|(key, _count)| *key < range.first);
+    let to = sorted.partition_point(|(key, _count)| *key <= range.last);
+    let keys = &sorted[from..to];
+    let mut windows = Vec::with_capacity(keys.len());
+    let (mut end, mut heat) = (0, 0.0);
+    for start in 0..keys.len() {
+        if end < start {
+            (end, heat) = (start, 0.0);
+        }
+        while end < keys.len() && heat + keys[end].1 <= allowed {
+            heat += keys[end].1;
+            end += 1;
+        }
+        if end > start {
+            windows.push(HeatWindow {
+                first: keys[start].0,
+                last: keys[end - 1].0,
+                heat,
+            });
+            heat -= keys[start].1;
+        }
+    }
+    windows
+}
--- /dev/null
+++ b/src/ranges/holdings.rs
@@ -0,0 +1,323 @@
+//! The ranges that the local upstream holds, as far as this process knows.
+//!
+//! A range is usable while a grant that was answered runs, counted from its
+//! sending. The upstream may hold it longer: the grant counts there from its
+//! arrival, on a clock that may run slow, and a grant without an answer may
+//! take effect at any time, though it still counts from its arrival. Until all
+//! that has passed, or the upstream has answered a release, nobody else may be
+//! given the range.
+
+use std::time::Duration;
+
+use super::FenceNumber;
+use super::RangeKey;
+use super::map::KeyRange;
+use crate::base::ids::Offset;
+
+/// A grant that ends sooner than this is renewed.
+const RENEW_BEFORE: Duration = Duration::from_millis(1_000);
+
+/// Grants shorter than this are not worth a call.
+const LEAST_HOLD: Duration = Duration::from_millis(150);
+
+/// By how much an upstream's clock may run slow, in hundredths.
+const SLOW_CLOCK_PERCENT: u32 = 2;
+
+/// How long a grant may take to arrive at the upstream on the same VM.
+const ARRIVAL_MARGIN: Duration = Duration::from_millis(60);
+
+/// Lives of an upstream that one fence base can tell apart.
+const LIFE_BITS: u32 = 10;
+
+/// A grant to send to the upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RangeGrant {
+    /// The first key.
+    pub first: RangeKey,
+    /// The last key, inclusive.
+    pub last: RangeKey,
+    /// The fence.
+    pub fence: FenceNumber,
+    /// How long the upstream holds the keys, from the grant's arrival.
+    pub hold: Duration,
+    /// What the former owner's upstream handed over.
+    pub handover: Option<Box<str>>,
+}
+
+/// What became of a grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GrantVerdict {
+    /// The upstream holds the keys.
+    Granted,
+    /// The upstream did not take the grant.
+    Refused,
+    /// No answer: the grant may take effect at any time.
+    Unknown,
+}
+
+/// Whether a request for a key may be dispatched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyAdmission {
+    /// The upstream holds the key.
+    Held,
+    /// The process owns the key and its upstream is about to hold it.
+    Pending,
+    /// The process does not own the key.
+    NotOwned,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct HeldRange {
+    first: RangeKey,
+    last: RangeKey,
+    base: Offset,
+    handover: Option<Box<str>>,
+    /// Until when requests may be dispatched.
+    usable_until: Option<Duration>,
+    /// Until when the upstream may hold the keys.
+    possible_until: Duration,
+    /// Until when a grant without an answer may take effect.
+    unknown_until: Duration,
+    /// When the grant was sent that waits for its answer.
+    sent: Option<Duration>,
+    releasing: bool,
+}
+
+/// The ranges that the local upstream holds.
+#[derive(Debug, Clone, Default)]
+pub struct RangeHoldings {
+    ranges: Vec<HeldRange>,
+    life: u64,
+    present: bool,
+}
+
+impl RangeHoldings {
+    /// Takes the ranges that the newest map gives to this process.
+    pub fn follow(&mut self, owned: &[KeyRange]) {
+        let former = std::mem::take(&mut self.ranges);
+        for range in owned {
+            let pieces = former
+                .iter()
+                .filter(|held| held.base == range.fence_base && held.handover == range.handover);
+            let mut next = u32::from(range.first);
+            for piece in pieces {
+                let (first, last) = (piece.first.max(range.first), piece.last.min(range.last));
+                if first > last || u32::from(first) < next {
+                    continue;
+                }
+                if u32::from(first) > next {
+                    self.ranges.push(fresh(range, next as RangeKey, first - 1));
+                }
+                self.ranges.push(HeldRange {
+                    first,
+                    last,
+                    ..piece.clone()
+                });
+                next = u32::from(last) + 1;
+            }
+            if next <= u32::from(range.last) {
+                self.ranges.push(fresh(range, next as RangeKey, range.last));
+            }
+        }
+    }
+
+    /// A new life of the upstream has begun; it holds nothing.
+    pub fn begin_life(&mut self) {
+        self.life += 1;
+        self.present = true;
+        self.forget_grants();
+    }
+
+    /// The upstream is there.
+    pub fn set_present(&mut self) {
+        self.present = true;
+    }
+
+    /// The upstream has ended, so it holds nothing.
+    pub fn end_life(&mut self) {
+        self.present = false;
+        self.forget_grants();
+    }
+
+    /// The upstream is silent; it may still hold its keys.
+    pub fn set_absent(&mut self) {
+        self.present = false;
+    }
+
+    fn forget_grants(&mut self) {
+        for range in &mut self.ranges {
+            range.usable_until = None;
+            range.possible_until = Duration::ZERO;
+            range.unknown_until = Duration::ZERO;
+            range.sent = None;
+        }
+    }
+
+    /// Returns the grants to send now, under a lease that is valid until
+    /// `lease`; they count as sent.
+    pub fn due_grants(&mut self, now: Duration, lease: Duration) -> Vec<RangeGrant> {
+        let left = lease.saturating_sub(now);
+        let hold = (left * 100 / (100 + SLOW_CLOCK_PERCENT)).saturating_sub(ARRIVAL_MARGIN);
+        if hold < LEAST_HOLD || !self.present {
+            return Vec::new();
+        }
+        let life = self.life;
+        let mut grants = Vec::new();
+        for range in &mut self.ranges {
+            let ends_soon = range
+                .usable_until
+                .is_none_or(|until| until < now + RENEW_BEFORE);
+            let gains = range.usable_until.is_none_or(|until| until < now + hold);
+            if range.releasing || range.sent.is_some() || !ends_soon || !gains {
+                continue;
+            }
+            range.sent = Some(now);
+            range.possible_until = range.possible_until.max(lease);
+            grants.push(RangeGrant {
+                first: range.first,
+                last: range.last,
+                fence: fence_of(range.base, life),
+                hold,
+                handover: range.handover.clone(),
+            });
+        }
+        grants
+    }
+
+    /// Takes what became of a grant that was sent at `sent`.
+    pub fn take_verdict(&mut self, grant: &RangeGrant, sent: Duration, verdict: GrantVerdict) {
+        let life = self.life;
+        for range in &mut self.ranges {
+            let inside = range.first >= grant.first && range.last <= grant.last;
+            let same = fence_of(range.base, life) == grant.fence && range.sent == Some(sent);
+            if !inside || !same {
+                continue;
+            }
+            range.sent = None;
+            match verdict {
+                GrantVerdict::Granted => {
+                    range.usable_until = range.usable_until.max(Some(sent + grant.hold));
+                }
+                GrantVerdict::Refused => {}
+                GrantVerdict::Unknown => range.unknown_until = range.possible_until,
+            }
+        }
+    }
+
+    /// Tells whether a request for a key may be dispatched now.
+    pub fn admit(&self, key: RangeKey, now: Duration) -> KeyAdmission {
+        let range = self
+            .ranges
+            .iter()
+            .find(|range| range.first <= key && key <= range.last);
+        match range {
+            None => KeyAdmission::NotOwned,
+            Some(range) if range.releasing => KeyAdmission::NotOwned,
+            Some(range) if range.usable_until.is_some_and(|until| now < until) => {
+                KeyAdmission::Held
+            }
+            Some(_) => KeyAdmission::Pending,
+        }
+    }
+
+    /// Stops requests for keys that are given away, and grants of them.
+    pub fn begin_release(&mut self, first: RangeKey, last: RangeKey) {
+        let former = std::mem::take(&mut self.ranges);
+        for held in former {
+            for (from, to, inside) in split_span((held.first, held.last), (first, last)) {
+                self.ranges.push(HeldRange {
+                    first: from,
+                    last: to,
+                    releasing: held.releasing || inside,
+                    ..held.clone()
+                });
+            }
+        }
+    }
+
+    /// Takes keys back that were to be given away.
+    pub fn cancel_release(&mut self) {
+        for range in &mut self.ranges {
+            range.releasing = false;
+        }
+    }
+
+    /// Returns the fences under which the upstream may hold the keys from
+    /// `first` to `last`, each with the keys that it covers.
+    pub fn release_calls(
+        &self,
+        first: RangeKey,
+        last: RangeKey,
+    ) -> Vec<(RangeKey, RangeKey, FenceNumber)> {
+        let inside = self.inside(first, last);
+        inside
+            .map(|range| (range.first, range.last, fence_of(range.base, self.life)))
+            .collect()
+    }
+
+    /// Tells whether a grant of the keys still waits for its answer.
+    pub fn is_granting(&self, first: RangeKey, last: RangeKey) -> bool {
+        self.inside(first, last).any(|range| range.sent.is_some())
+    }
+
+    /// Returns until when a grant without an answer may take effect on the
+    /// keys, after a release that was answered.
+    pub fn unknown_until(&self, first: RangeKey, last: RangeKey) -> Duration {
+        let untils = self
+            .inside(first, last)
+            .map(|range| range.unknown_until + ARRIVAL_MARGIN);
+        untils.max().unwrap_or(Duration::ZERO)
+    }
+
+    /// Returns until when the upstream may hold the keys if it answers
+    /// nothing.
+    pub fn possible_until(&self, first: RangeKey, last: RangeKey) -> Duration {
+        let untils = self.inside(first, last).map(|range| range.possible_until);
+        untils.max().unwrap_or(Duration::ZERO)
+    }
+
+    fn inside(&self, first: RangeKey, last: RangeKey) -> impl Iterator<Item = &HeldRange> {
+        self.ranges
+            .iter()
+            .filter(move |range| range.first >= first && range.last <= last)
+    }
+}
+
+/// Returns the fence of a range for one life of the upstream. It grows with
+/// every owner, since the base is the offset of the record that named the
+/// owner, and with every life under the same owner.
+fn fence_of(base: Offset, life: u64) -> FenceNumber {
+    ((base + 1) << LIFE_BITS) + life
+}
+
+fn fresh(range: &KeyRange, first: RangeKey, last: RangeKey) -> HeldRange {
+    HeldRange {
+        first,
+        last,
+        base: range.fence_base,
+        handover: range.handover.clone(),
+        usable_until: None,
+        possible_until: Duration::ZERO,
+        unknown_until: Duration::ZERO,
+        sent: None,
+        releasing: false,
+    }
+}
+
+/// Splits a span of keys into the parts before, inside and after another.
+fn split_span(
+    (first, last): (RangeKey, RangeKey),
+    (from, to): (RangeKey, RangeKey),
+) -> Vec<(RangeKey, RangeKey, bool)> {
+    let mut parts = Vec::new();
+    if first < from {
+        parts.push((first, last.min(from - 1), false));
+    }
+    if first.max(from) <= last.min(to) {
+        parts.push((first.max(from), last.min(to), true));
+    }
+    if last > to {
+        parts.push((first.max(to + 1), last, false));
+    }
+    parts
+}
--- /dev/null
+++ b/src/sidecar/dispatch.rs
@@ -0,0 +1,588 @@
+//! The entry: from a caller's request to the process that runs it.
+//!
+//! A request is tried again only if it is proven not to have run, or is
+//! idempotent; only within the attempts of its route, its deadline and the
+//! fleet's allowance. Waiting for the owner of a key is no attempt: nothing was
+//! sent.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+use tokio_util::sync::CancellationToken;
+
+use super::allowance::RepeatAllowance;
+use super::fleet::FleetState;
+use super::metrics::SidecarMetrics;
+use super::owner::SidecarOwner;
+use super::settings::SidecarSettings;
+use super::upstream::UpstreamPort;
+use crate::base::boot_clock::since_boot;
+use crate::base::collections::FastMap;
+use crate::base::error::ErrorKind;
+use crate::base::error::RequestOutcome;
+use crate::base::ids::Incarnation;
+use crate::base::ids::ServiceName;
+use crate::delivery::message::HeaderPair;
+use crate::delivery::message::OrderFailure;
+use crate::delivery::message::OrderRequest;
+use crate::delivery::message::OrderResult;
+use crate::peers::directory::is_fresh;
+use crate::placement::PlacementCandidate;
+use crate::placement::choose_upstream;
+use crate::ranges::RangeKey;
+use crate::routes::table::CompiledRoute;
+use crate::sidecar::gossip::upstream_gauge;
+use crate::state::record::ChainKey;
+use crate::state::record::ChainSubject;
+use crate::telemetry::request_log::RequestLog;
+use crate::transport::link::PeerLink;
+use crate::transport::link::RequestNumbers;
+use crate::transport::server::OrderHandler;
+
+/// Time that the owner's verdict needs to come back before the entry gives up.
+const VERDICT_TIME: Duration = Duration::from_millis(25);
+
+/// Wait before an owner is looked up again, unless the map changes sooner.
+const LOOKUP_WAIT: Duration = Duration::from_millis(40);
+
+/// Part of the latency target that a request waits for its key's owner: later
+/// its answer would be late anyway, and the caller can come back.
+const OWNER_PATIENCE: f64 = 0.6;
+
+/// When a caller is told to come back if its key has no owner.
+const OWNER_RETRY: Duration = Duration::from_millis(400);
+
+/// How often a request that runs elsewhere looks whether that process lives.
+const LIVENESS_INTERVAL: Duration = Duration::from_millis(150);
+
+/// A caller's request.
+#[derive(Debug, Clone)]
+pub struct EntryRequest {
+    /// The host that it names.
+    pub host: Box<str>,
+    /// HTTP method.
+    pub method: Box<str>,
+    /// Path and query.
+    pub path: Box<str>,
+    /// Headers to pass on.
+    pub headers: Vec<HeaderPair>,
+    /// The whole body.
+    pub body: Bytes,
+    /// How long the caller waits; none if it does not say.
+    pub deadline: Option<Duration>,
+    /// The key that it names.
+    pub key: Option<RangeKey>,
+    /// Its id.
+    pub id: Box<str>,
+}
+
+/// Why a request was not answered by an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EntryFailure {
+    /// This process knows no configuration yet.
+    NotConfigured,
+    /// No route takes the request.
+    NoRoute,
+    /// The request names no key, and its service is divided by key.
+    NoKey,
+    /// The request failed on its way.
+    Failed(OrderFailure),
+}
+
+impl EntryFailure {
+    fn slug(&self) -> &'static str {
+        match self {
+            Self::NotConfigured => "not-configured",
+            Self::NoRoute => "no-route",
+            Self::NoKey => "no-key",
+            Self::Failed(failure) => failure.kind.answer().slug,
+        }
+    }
+}
+
+/// The upstream's answer, or why there is none.
+pub type EntryResult = Result<crate::delivery::message::UpstreamAnswer, EntryFailure>;
+
+/// A link to another process, with the requests that this entry has there.
+#[derive(Debug, Clone)]
+struct CountedLink {
+    link: PeerLink,
+    in_flight: Arc<AtomicU32>,
+}
+
+/// Counts a request as being at a process until dropped.
+struct FlightGuard(Arc<AtomicU32>);
+
+impl FlightGuard {
+    fn new(count: &Arc<AtomicU32>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(count))
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Where a request is to run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OrderTarget {
+    Here,
+    Peer(Incarnation),
+}
+
+/// One request with what does not change between its attempts.
+struct PlannedRequest<'a> {
+    request: &'a EntryRequest,
+    route: &'a CompiledRoute,
+    service: ServiceName,
+    subject: ChainSubject,
+    arrived: Instant,
+    deadline: Instant,
+}
+
+/// Passes callers' requests on. Cloning shares it.
+#[derive(Debug, Clone)]
+pub struct SidecarDispatcher<U> {
+    shared: Arc<DispatchState>,
+    owner: SidecarOwner<U>,
+}
+
+#[derive(Debug)]
+struct DispatchState {
+    settings: Arc<SidecarSettings>,
+    fleet: Arc<FleetState>,
+    metrics: SidecarMetrics,
+    log: RequestLog,
+    numbers: RequestNumbers,
+    links: Mutex<FastMap<Incarnation, CountedLink>>,
+    allowances: Mutex<FastMap<ServiceName, RepeatAllowance>>,
+    here: Arc<AtomicU32>,
+    active: Arc<AtomicU32>,
+    last_arrival: Mutex<Instant>,
+}
+
+impl<U: UpstreamPort> SidecarDispatcher<U> {
+    /// Creates the dispatcher of a process.
+    pub fn new(
+        settings: Arc<SidecarSettings>,
+        fleet: Arc<FleetState>,
+        owner: SidecarOwner<U>,
+        metrics: SidecarMetrics,
+        log: RequestLog,
+    ) -> Self {
+        let shared = DispatchState {
+            settings,
+            fleet,
+            metrics,
+            log,
+            numbers: RequestNumbers::default(),
+            links: Mutex::default(),
+            allowances: Mutex::default(),
+            here: Arc::default(),
+            active: Arc::default(),
+            last_arrival: Mutex::new(Instant::now()),
+        };
+        Self {
+            shared: Arc::new(shared),
+            owner,
+        }
+    }
+
+    /// Takes a request to its end. Dropping the future breaks it off wherever
+    /// it is.
+    pub async fn dispatch(&self, request: EntryRequest) -> EntryResult {
+        let arrived = Instant::now();
+        let _active = FlightGuard::new(&self.shared.active);
+        *self.last_arrival() = arrived;
+        let mut attempts = 0;
+        let result = self.dispatch_steps(&request, arrived, &mut attempts).await;
+        let took = arrived.elapsed();
+        let outcome = match &result {
+            Ok(_) => "answered",
+            Err(failure) => failure.slug(),
+        };
+        let shared = &self.shared;
+        shared.metrics.requests.with_label_values(&[outcome]).inc();
+        shared.metrics.entry_seconds.observe(took.as_secs_f64());
+        let detail = match &result {
+            Err(EntryFailure::Failed(failure)) => &*failure.detail,
+            _ => "",
+        };
+        shared.log.write(|| {
+            log::info!(
+                request = &*request.id, path = &*request.path, key = request.key, outcome = outcome,
+                status = result.as_ref().map_or(0, |answer| answer.status), attempts = attempts,
+                took_ms = took.as_millis() as u64, detail = detail,
+                configuration = shared.fleet.configuration_version(), map = shared.fleet.map().offset;
+                "entry: ended a request"
+            );
+        });
+        result
+    }
+
+    /// Returns the longest body that callers may send; none while there is no
+    /// configuration.
+    pub fn body_limit(&self) -> Option<usize> {
+        let routes = self.shared.fleet.routes()?;
+        Some(routes.configuration().limits.body_bytes)
+    }
+
+    /// Returns for how long there has been no request; none while there are any.
+    pub fn quiet_for(&self) -> Option<Duration> {
+        let active = self.shared.active.load(Ordering::Relaxed);
+        (active == 0).then(|| self.last_arrival().elapsed())
+    }
+
+    fn last_arrival(&self) -> MutexGuard<'_, Instant> {
+        let last = &self.shared.last_arrival;
+        last.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn dispatch_steps(
+        &self,
+        request: &EntryRequest,
+        arrived: Instant,
+        attempts: &mut u32,
+    ) -> EntryResult {
+        let Some(routes) = self.shared.fleet.routes() else {
+            return Err(EntryFailure::NotConfigured);
+        };
+        let path = request.path.split('?').next().unwrap_or_default();
+        let route = routes
+            .find(&request.host, path)
+            .ok_or(EntryFailure::NoRoute)?;
+        let service = route.choose_service().ok_or(EntryFailure::NoRoute)?.clone();
+        let subject = if routes.configuration().is_divided(&service) {
+            ChainSubject::Slice(request.key.ok_or(EntryFailure::NoKey)?)
+        } else {
+            ChainSubject::Any
+        };
+        let timeout = route.rule.timeout;
+        let limit = request.deadline.map_or(timeout, |left| left.min(timeout));
+        let planned = PlannedRequest {
+            request,
+            route,
+            service,
+            subject,
+            arrived,
+            deadline: arrived + limit,
+        };
+        self.count_request(&planned.service);
+        self.attempt_all(&planned, attempts)
+            .await
+            .map_err(EntryFailure::Failed)
+    }
+
+    async fn attempt_all(&self, planned: &PlannedRequest<'_>, attempts: &mut u32) -> OrderResult {
+        let rule = &planned.route.rule;
+        let patience = planned.arrived + rule.target.mul_f64(OWNER_PATIENCE);
+        let patience = patience.min(planned.deadline);
+        let mut failed_at = Vec::new();
+        let mut may_have_run = None;
+        loop {
+            let result = match self.choose_target(planned, &failed_at) {
+                Some(target) => {
+                    let result = self.attempt(planned, target).await;
+                    if let Err(failure) = &result
+                        && was_offered(failure)
+                    {
+                        *attempts += 1;
+                        failed_at.push(target);
+                    }
+                    result
+                }
+                None => Err(OrderFailure::new(
+                    ErrorKind::NoOwner,
+                    "nobody serves the request now",
+                )),
+            };
+            let failure = match result {
+                Ok(answer) => {
+                    *attempts += 1;
+                    return Ok(answer);
+                }
+                Err(failure) => failure,
+            };
+            let unknown = failure.kind.answer().outcome == RequestOutcome::Unknown;
+            if unknown && !rule.idempotent {
+                return Err(failure);
+            }
+            if unknown {
+                may_have_run = Some(failure.clone());
+            }
+            if was_offered(&failure) {
+                let left = planned.deadline.saturating_duration_since(Instant::now());
+                let again = *attempts < rule.attempts
+                    && left > rule.target / 4
+                    && self.take_repeat(&planned.service);
+                if again {
+                    self.shared.metrics.repeats.inc();
+                    continue;
+                }
+            } else if is_misplaced(failure.kind) && Instant::now() < patience {
+                self.shared.metrics.owner_waits.inc();
+                self.wait_for_map(patience).await;
+                continue;
+            }
+            // A request that may have run is never told to be not run.
+            return Err(may_have_run.unwrap_or_else(|| with_retry(failure)));
+        }
+    }
+
+    /// Sends a request to a process, or runs it here.
+    async fn attempt(&self, planned: &PlannedRequest<'_>, target: OrderTarget) -> OrderResult {
+        let now = Instant::now();
+        let left = planned.deadline.saturating_duration_since(now);
+        let due = planned.arrived + planned.route.rule.target;
+        let order = OrderRequest {
+            chain: ChainKey {
+                service: planned.service.clone(),
+                subject: planned.subject.clone(),
+            },
+            key: Box::default(),
+            class: planned.route.rule.name.clone(),
+            remaining: Some(left.saturating_sub(VERDICT_TIME)),
+            target: Some(due.saturating_duration_since(now)),
+            idempotency_key: None,
+            attempt: 1,
+            caller: self.shared.settings.service.clone(),
+            method: planned.request.method.clone(),
+            path: planned.request.path.clone(),
+            headers: planned.request.headers.clone(),
+            body: planned.request.body.clone(),
+        };
+        match target {
+            OrderTarget::Here => {
+                let _flight = FlightGuard::new(&self.shared.here);
+                self.owner.handle(order, CancellationToken::new()).await
+            }
+            OrderTarget::Peer(peer) => self.attempt_peer(planned, peer, order).await,
+        }
+    }
+
+    async fn attempt_peer(
+        &self,
+        planned: &PlannedRequest<'_>,
+        peer: Incarnation,
+        order: OrderRequest,
+    ) -> OrderResult {
+        let Some(link) = self.link(peer) else {
+            return Err(OrderFailure::new(
+                ErrorKind::OwnerUnreachable,
+                "the process is not known",
+            ));
+        };
+        let _flight = FlightGuard::new(&link.in_flight);
+        let call = link.link.call(order);
+        tokio::pin!(call);
+        loop {
+            let look = Instant::now() + LIVENESS_INTERVAL;
+            let until = look.min(planned.deadline);
+            match timeout_at(until, &mut call).await {
+                Ok(result) => return result,
+                Err(_elapsed) if until >= planned.deadline => {
+                    return Err(OrderFailure::new(
+                        ErrorKind::DeadlineAfterStart,
+                        "no answer came before the deadline",
+                    ));
+                }
+                Err(_elapsed) => {}
+            }
+            if planned.route.rule.idempotent && !self.shared.fleet.is_live(peer) {
+                return Err(OrderFailure::new(
+                    ErrorKind::ConnectionLost,
+                    "the process fell silent",
+                ));
+            }
+        }
+    }
+
+    fn choose_target(
+        &self,
+        planned: &PlannedRequest<'_>,
+        failed_at: &[OrderTarget],
+    ) -> Option<OrderTarget> {
+        match planned.subject {
+            ChainSubject::Slice(key) => self.owner_of(&planned.service, key),
+            ChainSubject::Key(_) | ChainSubject::Any => self.least_loaded(planned, failed_at),
+        }
+    }
+
+    fn owner_of(&self, service: &str, key: RangeKey) -> Option<OrderTarget> {
+        let fleet = &self.shared.fleet;
+        let owner = fleet.map().map.owner(service, key)?;
+        if owner == fleet.own().incarnation {
+            return Some(OrderTarget::Here);
+        }
+        fleet.is_live(owner).then_some(OrderTarget::Peer(owner))
+    }
+
+    fn least_loaded(
+        &self,
+        planned: &PlannedRequest<'_>,
+        failed_at: &[OrderTarget],
+    ) -> Option<OrderTarget> {
+        let shared = &self.shared;
+        let fleet = &shared.fleet;
+        let interval = fleet.report_interval();
+        let now = since_boot();
+        let mut targets = Vec::new();
+        let mut candidates = Vec::new();
+        if let Some(gauge) = self.owner.local_gauge(&planned.service) {
+            targets.push(OrderTarget::Here);
+            candidates.push(PlacementCandidate {
+                gauge: upstream_gauge(gauge.0, gauge.1),
+                unreported: 0,
+                same_domain: true,
+                fresh: true,
+            });
+        }
+        {
+            let links = shared.links.lock().unwrap_or_else(PoisonError::into_inner);
+            let directory = fleet.directory();
+            let serving = directory
+                .peers()
+                .filter(|peer| peer.member.service == planned.service && peer.takes_requests());
+            for peer in serving {
+                let in_flight = links
+                    .get(&peer.member.incarnation)
+                    .map_or(0, |link| link.in_flight.load(Ordering::Relaxed));
+                targets.push(OrderTarget::Peer(peer.member.incarnation));
+                candidates.push(PlacementCandidate {
+                    gauge: peer.gauge,
+                    unreported: unreported(in_flight, &peer.gauge),
+                    same_domain: peer.member.domain == fleet.own().domain,
+                    fresh: is_fresh(peer, now, interval),
+                });
+            }
+        }
+        // A second attempt goes elsewhere, if there is an elsewhere.
+        let untried: Vec<usize> = (0..targets.len())
+            .filter(|index| !failed_at.contains(&targets[*index]))
+            .collect();
+        let pool: Vec<usize> = if untried.is_empty() {
+            (0..targets.len()).collect()
+        } else {
+            untried
+        };
+        let offered: Vec<PlacementCandidate> =
+            pool.iter().map(|index| candidates[*index]).collect();
+        let chosen = choose_upstream(&offered, planned.route.rule.target, rand::random())?;
+        Some(targets[pool[chosen]])
+    }
+
+    fn link(&self, peer: Incarnation) -> Option<CountedLink> {
+        let shared = &self.shared;
+        let mut links = shared.links.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(link) = links.get(&peer) {
+            return Some(link.clone());
+        }
+        let (address, known) = {
+            let directory = shared.fleet.directory();
+            let address = directory.find(peer)?.member.address;
+            let known: Vec<Incarnation> = directory
+                .peers()
+                .map(|peer| peer.member.incarnation)
+                .collect();
+            (address, known)
+        };
+        links.retain(|incarnation, _link| known.contains(incarnation));
+        let link = CountedLink {
+            link: PeerLink::start(
+                shared.fleet.own().incarnation,
+                peer,
+                address,
+                shared.numbers.clone(),
+            ),
+            in_flight: Arc::default(),
+        };
+        links.insert(peer, link.clone());
+        Some(link)
+    }
+
+    async fn wait_for_map(&self, until: Instant) {
+        let mut maps = self.shared.fleet.watch_map();
+        maps.borrow_and_update();
+        let until = until.min(Instant::now() + LOOKUP_WAIT);
+        drop(timeout_at(until, maps.changed()).await);
+    }
+
+    fn count_request(&self, service: &ServiceName) {
+        let limits = &self.shared.settings.repeats;
+        self.with_allowance(service, |allowance| {
+            allowance.count_request(since_boot(), limits)
+        });
+    }
+
+    fn take_repeat(&self, service: &ServiceName) -> bool {
+        let limits = &self.shared.settings.repeats;
+        let members = self.shared.fleet.directory().peers().count() + 1;
+        self.with_allowance(service, |allowance| {
+            allowance.take_repeat(since_boot(), limits, members)
+        })
+    }
+
+    fn with_allowance<T>(
+        &self,
+        service: &ServiceName,
+        action: impl FnOnce(&mut RepeatAllowance) -> T,
+    ) -> T {
+        let mut allowances = self
+            .shared
+            .allowances
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        action(allowances.entry(service.clone()).or_default())
+    }
+}
+
+/// Requests that this entry has at an upstream and that its report does not
+/// show yet: about those beyond what it reported as busy.
+fn unreported(in_flight: u32, gauge: &crate::peers::message::UpstreamGauge) -> u32 {
+    let reported = u32::from(gauge.running) + u32::from(gauge.waiting);
+    in_flight.saturating_sub(reported)
+}
+
+/// Tells whether the request reached an upstream, or may have.
+fn was_offered(failure: &OrderFailure) -> bool {
+    matches!(
+        failure.kind,
+        ErrorKind::UpstreamRefused
+            | ErrorKind::UpstreamFailed
+            | ErrorKind::AnswerTruncated
+            | ErrorKind::ConnectionLost
+            | ErrorKind::DeadlineAfterStart
+    )
+}
+
+/// Tells whether the request went to a process that does not serve it now.
+fn is_misplaced(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::NoOwner
+            | ErrorKind::NotOwner
+            | ErrorKind::OwnerUnreachable
+            | ErrorKind::Draining
+            | ErrorKind::LeaseLapsed
+    )
+}
+
+/// Tells a caller when to come back, where the request has not run.
+fn with_retry(mut failure: OrderFailure) -> OrderFailure {
+    let not_run = failure.kind.answer().outcome == RequestOutcome::NotRun;
+    if not_run && failure.retry_after.is_none() {
+        failure.retry_after = Some(OWNER_RETRY);
+    }
+    failure
+}
--- /dev/null
+++ b/src/sidecar/follow.rs
@@ -0,0 +1,224 @@
+//! Keeps the fleet's state up to date from the store.
+//!
+//! Each topic is read by one long read at a time, so that the store is called
+//! about as often as something changes. A connection to the store may fall
+//! silent unnoticed; the reports of other processes show when this one has
+//! missed something. It then reads at once, and asks the peer itself if the
+//! store does not answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::fleet::FleetState;
+use crate::base::ids::Offset;
+use crate::base::timer::TimerService;
+use crate::log::backoff::RetryBackoff;
+use crate::peers::message::MemberRecord;
+use crate::ranges::map::decode_map;
+use crate::routes::check::check_configuration;
+use crate::routes::configuration::RouteConfiguration;
+use crate::store::StateStore;
+use crate::store::StoreError;
+use crate::store::StorePage;
+use crate::store::StoreRecord;
+use crate::store::StoreTopic;
+use crate::transport::state::fetch_encoded;
+
+/// Longest wait of one read: every call is paid for, and silence is noticed by
+/// other means.
+const LONG_READ: Duration = Duration::from_secs(20);
+
+/// First and longest wait after a failed call.
+const RETRY_WAITS: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(800));
+
+/// Waits between two reads of the fleet's topic, so that members that start
+/// together are read together.
+const FLEET_PAUSE: Duration = Duration::from_millis(40);
+
+/// How often the reports of others are compared with what is known here.
+const COMPARE_INTERVAL: Duration = Duration::from_millis(150);
+
+/// How long a peer may take to tell what it knows.
+const PEER_LIMIT: Duration = Duration::from_millis(500);
+
+/// Key of the range map in the fleet's topic.
+pub const MAP_KEY: &str = "ranges";
+
+/// What the keys of members begin with in the fleet's topic.
+pub const MEMBER_PREFIX: &str = "member/";
+
+/// Key of the operator's configuration.
+const CONFIGURATION_KEY: &str = "config";
+
+/// Decodes the operator's records.
+pub trait ConfigurationDecoder: Clone + Send + Sync + 'static {
+    /// Decodes a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason if the bytes are none.
+    fn decode(&self, bytes: &[u8]) -> eyre::Result<RouteConfiguration>;
+}
+
+/// Follows one topic until the process ends.
+pub async fn follow_topic<S: StateStore>(
+    store: S,
+    topic: StoreTopic,
+    fleet: Arc<FleetState>,
+    apply: impl Fn(&StorePage),
+) {
+    let mut next: Option<Offset> = None;
+    let mut backoff = RetryBackoff::new(RETRY_WAITS.0, RETRY_WAITS.1);
+    loop {
+        let reading = read_on(&store, topic, next);
+        let result = tokio::select! {
+            result = reading => result,
+            () = fleet.nudge.notified() => {
+                // A fresh connection, in case the present one is silent.
+                next = None;
+                continue;
+            }
+        };
+        match result {
+            Ok(page) => {
+                if backoff.failures() > 0 {
+                    log::info!(topic:? = topic, failures = backoff.failures(); "store: regained");
+                }
+                backoff.reset();
+                next = Some(page.next);
+                apply(&page);
+                if topic == StoreTopic::Fleet && !page.records.is_empty() {
+                    sleep(FLEET_PAUSE).await;
+                }
+            }
+            Err(StoreError::Expired) => {
+                log::info!(topic:? = topic, from = next; "store: the history is gone, reading the newest records");
+                next = None;
+            }
+            Err(error) => {
+                if backoff.failures() == 0 {
+                    log::warn!(topic:? = topic, error:% = error; "store: lost");
+                }
+                sleep(backoff.next_wait()).await;
+            }
+        }
+    }
+}
+
+async fn read_on<S: StateStore>(
+    store: &S,
+    topic: StoreTopic,
+    next: Option<Offset>,
+) -> Result<StorePage, StoreError> {
+    match next {
+        Some(from) => store.read(topic, from, LONG_READ).await,
+        None => store.newest(topic).await,
+    }
+}
+
+/// Applies records of the operator.
+pub fn apply_operator<D: ConfigurationDecoder>(fleet: &FleetState, decoder: &D, page: &StorePage) {
+    for record in &page.records {
+        if &*record.key != CONFIGURATION_KEY || record.value.is_empty() {
+            continue;
+        }
+        let checked = decoder.decode(&record.value).and_then(|configuration| {
+            check_configuration(&configuration)?;
+            Ok(configuration)
+        });
+        match checked {
+            Ok(configuration) => {
+                fleet.offer_configuration(configuration, "store");
+            }
+            Err(error) => {
+                log::warn!(offset = record.offset, error:% = error; "routes: skipped a configuration");
+            }
+        }
+    }
+}
+
+/// Applies records of the fleet.
+pub fn apply_fleet(fleet: &FleetState, page: &StorePage) {
+    for record in &page.records {
+        apply_fleet_record(fleet, record);
+    }
+    fleet.reach_end(page.next);
+}
+
+fn apply_fleet_record(fleet: &FleetState, record: &StoreRecord) {
+    if &*record.key == MAP_KEY {
+        match decode_map(&record.value) {
+            Ok(map) => {
+                fleet.offer_map(map, record.offset);
+            }
+            Err(error) => {
+                log::error!(offset = record.offset, error:% = error; "ranges: cannot read a map");
+            }
+        }
+        return;
+    }
+    let Some(node) = record.key.strip_prefix(MEMBER_PREFIX) else {
+        return;
+    };
+    if record.value.is_empty() {
+        fleet.directory().remove(node);
+        return;
+    }
+    match postcard::from_bytes::<MemberRecord>(&record.value) {
+        Ok(member) => {
+            if fleet.directory().announce(member) {
+                fleet.report_now.notify_one();
+            }
+        }
+        Err(error) => {
+            log::error!(offset = record.offset, error:% = error; "peers: cannot read a member");
+        }
+    }
+}
+
+/// Watches whether other processes know more than this one, and catches up.
+pub async fn catch_up(fleet: Arc<FleetState>, timer: TimerService) {
+    let mut ticks = timer.subscribe(COMPARE_INTERVAL);
+    let mut behind = 0_u32;
+    loop {
+        ticks.next().await;
+        let Some(peer) = find_ahead(&fleet) else {
+            behind = 0;
+            continue;
+        };
+        behind += 1;
+        // The first time it may just be a moment slower.
+        if behind < 2 {
+            continue;
+        }
+        if behind == 2 {
+            fleet.nudge.notify_waiters();
+        }
+        match fetch_encoded(peer.address, 0, PEER_LIMIT).await {
+            Ok(Some(encoded)) => match fleet.install(&encoded) {
+                Ok(()) => log::info!(peer = &*peer.node; "fleet: caught up from a peer"),
+                Err(error) => {
+                    log::warn!(peer = &*peer.node, error:% = error; "fleet: cannot read a peer's state")
+                }
+            },
+            Ok(None) => {}
+            Err(error) => {
+                log::debug!(peer = &*peer.node, error:% = error; "fleet: a peer gave no state");
+            }
+        }
+    }
+}
+
+fn find_ahead(fleet: &FleetState) -> Option<MemberRecord> {
+    let version = fleet.configuration_version();
+    let offset = fleet.map().offset;
+    let interval = fleet.report_interval();
+    let directory = fleet.directory();
+    let now = crate::base::boot_clock::since_boot();
+    directory
+        .live(now, interval)
+        .find(|peer| peer.configuration > version || peer.map > offset)
+        .map(|peer| peer.member.clone())
+}
--- /dev/null
+++ b/src/sidecar/metrics.rs
@@ -0,0 +1,146 @@
+//! Counters and histograms of one sidecar.
+
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.28, 2.56, 5.12, 10.24,
+];
+
+/// Counters and histograms of one sidecar.
+#[derive(Debug, Clone)]
+pub struct SidecarMetrics {
+    registry: Registry,
+    /// Requests of callers by how they ended: `answered`, or the failure.
+    pub requests: IntCounterVec,
+    /// Time from a request's arrival at the entry to its end.
+    pub entry_seconds: Histogram,
+    /// Time for which a request held a slot of the upstream.
+    pub upstream_seconds: Histogram,
+    /// Requests that were sent to a second upstream.
+    pub repeats: IntCounter,
+    /// Requests that waited for a key's owner.
+    pub owner_waits: IntCounter,
+    /// Grants sent to the upstream.
+    pub grants: IntCounter,
+    /// Changes of the range map that this process wrote.
+    pub map_writes: IntCounter,
+    /// Whether the lease is valid, 0 or 1.
+    pub lease_valid: IntGauge,
+    /// Log lines that were dropped to bound their rate.
+    pub dropped_lines: IntCounter,
+}
+
+impl SidecarMetrics {
+    /// Creates and registers the metrics.
+    ///
+    /// # Panics
+    ///
+    /// Never: each metric is registered once under a valid name.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let requests = IntCounterVec::new(
+            Opts::new(
+                "winch_sidecar_requests_total",
+                "Requests of callers by how they ended.",
+            ),
+            &["outcome"],
+        )
+        .expect("a valid name");
+        registry
+            .register(Box::new(requests.clone()))
+            .expect("registered once");
+        Self {
+            requests,
+            entry_seconds: histogram(
+                &registry,
+                "winch_sidecar_entry_seconds",
+                "Time from a request's arrival at the entry to its end.",
+            ),
+            upstream_seconds: histogram(
+                &registry,
+                "winch_sidecar_upstream_seconds",
+                "Time for which a request held a slot of the upstream.",
+            ),
+            repeats: counter(
+                &registry,
+                "winch_sidecar_repeats_total",
+                "Requests that were sent to a second upstream.",
+            ),
+            owner_waits: counter(
+                &registry,
+                "winch_sidecar_owner_waits_total",
+                "Requests that waited for a key's owner.",
+            ),
+            grants: counter(
+                &registry,
+                "winch_sidecar_grants_total",
+                "Grants sent to the upstream.",
+            ),
+            map_writes: counter(
+                &registry,
+                "winch_sidecar_map_writes_total",
+                "Changes of the range map that this process wrote.",
+            ),
+            lease_valid: gauge(
+                &registry,
+                "winch_sidecar_lease_valid",
+                "Whether the lease is valid, 0 or 1.",
+            ),
+            dropped_lines: counter(
+                &registry,
+                "winch_sidecar_dropped_log_lines_total",
+                "Log lines that were dropped to bound their rate.",
+            ),
+            registry,
+        }
+    }
+
+    /// Writes every metric in the text format of `prometheus`.
+    pub fn encode(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!("metrics: cannot be written: {error}");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+impl Default for SidecarMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name, help).expect("a valid name");
+    registry
+        .register(Box::new(counter.clone()))
+        .expect("registered once");
+    counter
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("a valid name");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("registered once");
+    gauge
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS.to_vec());
+    let histogram = Histogram::with_opts(options).expect("a valid name");
+    registry
+        .register(Box::new(histogram.clone()))
+        .expect("registered once");
+    histogram
+}
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -1,6 +1,8 @@
 //! Sets up the process's log.
 
 use logforth::append::Stderr;
+use logforth::append::Stdout;
+use logforth::append::asynchronous::Async as AsyncAppend;
 use logforth::append::asynchronous::AsyncBuilder;
 use logforth::layout::JsonLayout;
 use logforth::layout::TextLayout;
@@ -39,13 +41,30 @@
         .overflow_drop_incoming()
         .append(stderr)
         .build();
-    let filter = LevelFilter::MoreSevereEqual(level(settings.level));
+    install(settings.level, writer)
+}
+
+/// Sends the process's log to standard output, as one JSON object a line,
+/// written by a thread of its own.
+///
+/// Does nothing when a logger is already set.
+pub fn init_stdout() -> LogGuard {
+    let writer = AsyncBuilder::new("log-writer")
+        .buffered_lines_limit(Some(BUFFERED_LINES))
+        .overflow_drop_incoming()
+        .append(Stdout::default().with_layout(JsonLayout::default()))
+        .build();
+    install(LogLevel::Info, writer)
+}
+
+fn install(log_level: LogLevel, writer: AsyncAppend) -> LogGuard {
+    let filter = LevelFilter::MoreSevereEqual(level(log_level));
     let logger = logforth::core::builder()
         .dispatch(|dispatch| dispatch.filter(filter).append(writer))
         .build();
     let bridge = logforth::bridge::log::LogBridge::new(logger);
     if log::set_boxed_logger(Box::new(bridge)).is_ok() {
-        log::set_max_level(max_level(settings.level));
+        log::set_max_level(max_level(log_level));
     }
     LogGuard(())
 }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -10,6 +10,7 @@
 pub mod classes;
 pub mod logs;
 pub mod metrics;
+pub mod request_log;
 
 pub use self::catalogue::METRIC_CATALOGUE;
 pub use self::catalogue::MetricInfo;
--- a/src/transport/state.rs
+++ b/src/transport/state.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -21,10 +22,24 @@
     above: Offset,
     limit: Duration,
 ) -> io::Result<Option<FoldedState>> {
+    let encoded = fetch_encoded(address, above, limit).await?;
+    encoded
+        .map(|bytes| decode_state(&bytes))
+        .transpose()
+        .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, format!("{error:?}")))
+}
+
+/// Asks the process at `address` for its state as [`fetch_state`] does, and
+/// leaves it encoded.
+pub async fn fetch_encoded(
+    address: SocketAddr,
+    above: Offset,
+    limit: Duration,
+) -> io::Result<Option<Bytes>> {
     timeout(limit, ask_state(address, above)).await?
 }
 
-async fn ask_state(address: SocketAddr, above: Offset) -> io::Result<Option<FoldedState>> {
+async fn ask_state(address: SocketAddr, above: Offset) -> io::Result<Option<Bytes>> {
     let stream = TcpStream::connect(address).await?;
     let (mut reader, sender) = connection::open(stream)?;
     let question = encode_message(&PeerMessage::AskState { above });
@@ -36,8 +51,5 @@
             "the peer did not answer with a state",
         ));
     };
-    encoded
-        .map(|bytes| decode_state(&bytes))
-        .transpose()
-        .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, format!("{error:?}")))
+    Ok(encoded)
 }
--- a/src/upstream/service.rs
+++ b/src/upstream/service.rs
@@ -31,6 +31,8 @@
 pub enum CallError {
     /// No connection was made, so nothing was sent.
     NotSent,
+    /// Nothing listens at the upstream's address, so nothing was sent.
+    Gone,
     /// The upstream stated that it did not run the order.
     Refused,
     /// The connection failed after the order was, or may have been, sent.
--- a/tests/testsuite/admission_sessions.rs
+++ b/tests/testsuite/admission_sessions.rs
@@ -78,6 +78,7 @@
 fn send(fixture: &OwnerFixture, class: &str, number: usize) -> JoinHandle<(OrderResult, Duration)> {
     let request = OrderRequest {
         remaining: None,
+        target: None,
         caller: format!("caller-{}", number % 50).into(),
         ..order(class, "/")
     };
--- a/tests/testsuite/delivery.rs
+++ b/tests/testsuite/delivery.rs
@@ -196,6 +196,7 @@
     let fixture = owner_fixture(1, FakeReply::Answer(Duration::from_hours(1))).await;
     let endless = OrderRequest {
         remaining: None,
+        target: None,
         idempotency_key: Some("order-1".into()),
         ..order("reports", "/a")
     };
--- a/tests/testsuite/operator_pages.rs
+++ b/tests/testsuite/operator_pages.rs
@@ -220,13 +220,19 @@
     }
 }
 
-/// Returns the text of each log call, up to its first colon.
+/// Returns the text of each log call, up to its first colon. The text follows
+/// the call's fields, if it has any.
 fn log_prefixes(source: &str) -> Vec<String> {
     let mut prefixes = Vec::new();
     for level in ["error", "warn", "info", "debug", "trace"] {
         let start = format!("log::{level}!(");
         for call in source.split(start.as_str()).skip(1) {
-            let text = call.trim_start().trim_start_matches('"');
+            let call = call.trim_start();
+            let text = match call.split_once(';') {
+                Some((_fields, text)) if !call.starts_with('"') => text.trim_start(),
+                _ => call,
+            };
+            let text = text.trim_start_matches('"');
             prefixes.extend(text.split(':').next().map(ToOwned::to_owned));
         }
     }
