sidecar: refuse what might outlast a leaving process; tests of the new slices

Change: a process that leaves refuses a request whose time limit lies behind its end, and ends 0.4 s before its grace is over instead of 0.8 s.

--- a/src/ranges/edit.rs
+++ b/src/ranges/edit.rs
@@ -206,12 +206,12 @@
         .iter_mut()
         .find(|ranges| &*ranges.service == service)?;
     for part in transfers {
-        let owned = ranges
+        let is_theirs = ranges
             .ranges
             .iter()
             .filter(|range| range.clip(part.first, part.last).is_some())
             .all(|range| range.owner == owner);
-        if !owned || !part.target.is_none_or(is_holder) {
+        if !is_theirs || !part.target.is_none_or(is_holder) {
             return None;
         }
         ranges.replace(&KeyRange {
--- a/src/ranges/holdings.rs
+++ b/src/ranges/holdings.rs
@@ -15,7 +15,7 @@
 use crate::base::ids::Offset;
 
 /// A grant that ends sooner than this is renewed.
-const RENEW_BEFORE: Duration = Duration::from_millis(1_000);
+const RENEW_BEFORE: Duration = Duration::from_secs(1);
 
 /// Grants shorter than this are not worth a call.
 const LEAST_HOLD: Duration = Duration::from_millis(150);
@@ -199,7 +199,9 @@
                     range.usable_until = range.usable_until.max(Some(sent + grant.hold));
                 }
                 GrantVerdict::Refused => {}
-                GrantVerdict::Unknown => range.unknown_until = range.possible_until,
+                GrantVerdict::Unknown => {
+                    range.unknown_until = range.possible_until + ARRIVAL_MARGIN;
+                }
             }
         }
     }
@@ -263,9 +265,7 @@
     /// Returns until when a grant without an answer may take effect on the
     /// keys, after a release that was answered.
     pub fn unknown_until(&self, first: RangeKey, last: RangeKey) -> Duration {
-        let untils = self
-            .inside(first, last)
-            .map(|range| range.unknown_until + ARRIVAL_MARGIN);
+        let untils = self.inside(first, last).map(|range| range.unknown_until);
         untils.max().unwrap_or(Duration::ZERO)
     }
 
--- a/src/sidecar/dispatch.rs
+++ b/src/sidecar/dispatch.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -63,6 +64,9 @@
 /// How often a request that runs elsewhere looks whether that process lives.
 const LIVENESS_INTERVAL: Duration = Duration::from_millis(150);
 
+/// An answer needs so long on its way out of a process that ends.
+const STOP_MARGIN: Duration = Duration::from_millis(150);
+
 /// A caller's request.
 #[derive(Debug, Clone)]
 pub struct EntryRequest {
@@ -170,6 +174,8 @@
     here: Arc<AtomicU32>,
     active: Arc<AtomicU32>,
     last_arrival: Mutex<Instant>,
+    /// When the process ends, once it leaves.
+    stops_at: OnceLock<Instant>,
 }
 
 impl<U: UpstreamPort> SidecarDispatcher<U> {
@@ -192,6 +198,7 @@
             here: Arc::default(),
             active: Arc::default(),
             last_arrival: Mutex::new(Instant::now()),
+            stops_at: OnceLock::new(),
         };
         Self {
             shared: Arc::new(shared),
@@ -238,6 +245,18 @@
         Some(routes.configuration().limits.body_bytes)
     }
 
+    /// The process ends at `stops_at`: requests that might outlast it are
+    /// refused, so that none is cut off.
+    pub fn stop_at(&self, stops_at: Instant) {
+        // Only the first word counts: a process leaves once.
+        let _is_first = self.shared.stops_at.set(stops_at).is_ok();
+    }
+
+    fn outlasts_process(&self, deadline: Instant) -> bool {
+        let stops_at = self.shared.stops_at.get();
+        stops_at.is_some_and(|stops_at| deadline + STOP_MARGIN > *stops_at)
+    }
+
     /// Returns for how long there has been no request; none while there are any.
     pub fn quiet_for(&self) -> Option<Duration> {
         let active = self.shared.active.load(Ordering::Relaxed);
@@ -278,6 +297,13 @@
             arrived,
             deadline: arrived + limit,
         };
+        if self.outlasts_process(planned.deadline) {
+            let failure = OrderFailure::new(
+                ErrorKind::Draining,
+                "the process ends before the request might",
+            );
+            return Err(EntryFailure::Failed(with_retry(failure)));
+        }
         self.count_request(&planned.service);
         self.attempt_all(&planned, attempts)
             .await
@@ -521,7 +547,7 @@
     fn count_request(&self, service: &ServiceName) {
         let limits = &self.shared.settings.repeats;
         self.with_allowance(service, |allowance| {
-            allowance.count_request(since_boot(), limits)
+            allowance.count_request(since_boot(), limits);
         });
     }
 
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -200,7 +200,7 @@
             Ok(Some(encoded)) => match fleet.install(&encoded) {
                 Ok(()) => log::info!(peer = &*peer.node; "fleet: caught up from a peer"),
                 Err(error) => {
-                    log::warn!(peer = &*peer.node, error:% = error; "fleet: cannot read a peer's state")
+                    log::warn!(peer = &*peer.node, error:% = error; "fleet: cannot read a peer's state");
                 }
             },
             Ok(None) => {}
--- a/src/sidecar/gossip.rs
+++ b/src/sidecar/gossip.rs
@@ -86,7 +86,7 @@
         let interval = self.fleet.report_interval();
         let directory = self.fleet.directory();
         let told = directory.peers().filter(|peer| {
-            number % SILENT_TURN == 0
+            number.is_multiple_of(SILENT_TURN)
                 || number < SILENT_TURN
                 || is_fresh(peer, now, interval)
                 || peer.heard().is_none()
--- a/src/sidecar/keeper.rs
+++ b/src/sidecar/keeper.rs
@@ -258,7 +258,7 @@
 
     fn take(&mut self, event: KeeperEvent) {
         match event {
-            KeeperEvent::Datagram(from, datagram) => self.take_datagram(from, datagram),
+            KeeperEvent::Datagram(from, datagram) => self.take_datagram(from, &datagram),
             KeeperEvent::Granted(grant, sent, verdict) => {
                 if verdict != GrantVerdict::Granted {
                     log::warn!(first = grant.first, last = grant.last, fence = grant.fence, verdict:? = verdict; "ranges: a grant failed");
@@ -275,10 +275,10 @@
         }
     }
 
-    fn take_datagram(&mut self, from: SocketAddr, datagram: PeerDatagram) {
+    fn take_datagram(&mut self, from: SocketAddr, datagram: &PeerDatagram) {
         let own = self.own();
         let now = since_boot();
-        match datagram {
+        match *datagram {
             PeerDatagram::Renew {
                 holder,
                 voter,
@@ -316,17 +316,15 @@
                 holder,
                 term,
                 ..
-            } if voter == own => {
-                if self.ledger.refuse_lapsed(holder, term, now) {
-                    self.socket.send(
-                        from,
-                        &PeerDatagram::Lapsed {
-                            voter,
-                            holder,
-                            term,
-                        },
-                    );
-                }
+            } if voter == own && self.ledger.refuse_lapsed(holder, term, now) => {
+                self.socket.send(
+                    from,
+                    &PeerDatagram::Lapsed {
+                        voter,
+                        holder,
+                        term,
+                    },
+                );
             }
             PeerDatagram::Lapsed {
                 voter,
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -68,7 +68,7 @@
 const QUIET_TIME: Duration = Duration::from_millis(300);
 
 /// A leaving process ends so long before its time is over, whatever runs.
-const LEAVE_MARGIN: Duration = Duration::from_millis(800);
+const LEAVE_MARGIN: Duration = Duration::from_millis(400);
 
 /// One sidecar. Cloning shares it.
 #[derive(Debug, Clone)]
@@ -211,6 +211,7 @@
         let limit = started + self.settings.grace.saturating_sub(LEAVE_MARGIN);
         log::info!(grace_ms = self.settings.grace.as_millis() as u64; "process: leaves");
         self.leaving.send_replace(true);
+        self.dispatcher.stop_at(limit);
         sleep(READINESS_TIME.min(self.settings.grace / 2)).await;
         self.closing.cancel();
         while Instant::now() < limit && !self.is_done() {
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -62,7 +62,7 @@
 /// tried. Returns none if the notice is outdated.
 pub fn merge_notice(
     known: Option<&LocalUpstream>,
-    notice: UpstreamNotice,
+    notice: &UpstreamNotice,
     now: Duration,
     silence: Duration,
 ) -> Option<LocalUpstream> {
@@ -126,7 +126,7 @@
     }
 
     /// Takes a notice.
-    pub fn announce(&self, notice: UpstreamNotice) {
+    pub fn announce(&self, notice: &UpstreamNotice) {
         let now = since_boot();
         self.published.send_if_modified(|known| {
             let Some(merged) = merge_notice(known.as_ref(), notice, now, self.silence) else {
--- /dev/null
+++ b/tests/testsuite/deadline_queue.rs
@@ -0,0 +1,132 @@
+//! Which waiting request starts next, and which is refused.
+
+use std::time::Duration;
+
+use buckthornwinch::admission::deadline_queue::DeadlineQueue;
+use buckthornwinch::admission::deadline_queue::QueuedRequest;
+use buckthornwinch::base::error::ErrorKind;
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn request(rank: u8, target: u64, deadline: u64) -> QueuedRequest {
+    QueuedRequest {
+        rank,
+        target: ms(target),
+        deadline: ms(deadline),
+        service: Some(ms(100)),
+    }
+}
+
+/// A queue with one slot, which is taken.
+fn busy_queue() -> DeadlineQueue<&'static str> {
+    let mut queue = DeadlineQueue::new();
+    queue.set_slots(1);
+    queue
+        .offer(ms(0), request(0, 400, 1_000), "first")
+        .expect("room");
+    assert_eq!(queue.start_next(ms(0)), Some("first"));
+    queue
+}
+
+fn next(queue: &mut DeadlineQueue<&'static str>, now: Duration) -> Option<&'static str> {
+    queue.finish(Some(ms(100)));
+    queue.start_next(now)
+}
+
+#[test]
+fn no_more_run_than_there_are_slots() {
+    let mut queue = busy_queue();
+    queue
+        .offer(ms(0), request(0, 400, 1_000), "second")
+        .expect("room");
+
+    assert_eq!(queue.start_next(ms(0)), None);
+    assert_eq!(next(&mut queue, ms(100)), Some("second"));
+}
+
+#[test]
+fn ranks_go_one_after_the_other_and_within_one_the_nearest_target() {
+    let mut queue = busy_queue();
+    for (rank, target, name) in [(2, 300, "report"), (1, 900, "order"), (1, 400, "call")] {
+        queue
+            .offer(ms(0), request(rank, target, 2_000), name)
+            .expect("room");
+    }
+
+    let order: Vec<_> = (1..=3)
+        .map(|turn| next(&mut queue, ms(100 * turn)))
+        .collect();
+
+    assert_eq!(order, [Some("call"), Some("order"), Some("report")]);
+}
+
+#[test]
+fn a_request_that_cannot_be_in_time_steps_behind_those_that_can() {
+    let mut queue = busy_queue();
+    queue
+        .offer(ms(0), request(0, 150, 5_000), "urgent")
+        .expect("room");
+    queue
+        .offer(ms(0), request(2, 2_000, 5_000), "report")
+        .expect("room");
+
+    assert_eq!(next(&mut queue, ms(100)), Some("report"));
+    assert_eq!(next(&mut queue, ms(200)), Some("urgent"));
+}
+
+#[test]
+fn what_cannot_end_before_its_deadline_is_refused_on_arrival() {
+    let mut queue = busy_queue();
+    for name in ["a", "b", "c"] {
+        queue
+            .offer(ms(0), request(0, 400, 1_000), name)
+            .expect("room");
+    }
+
+    let (_name, refusal) = queue
+        .offer(ms(0), request(1, 900, 350), "late")
+        .expect_err("refused");
+
+    assert_eq!(refusal.kind, ErrorKind::Overloaded);
+    assert!(refusal.retry_after.is_some_and(|wait| wait >= ms(100)));
+}
+
+#[test]
+fn an_urgent_request_is_not_refused_for_what_it_overtakes() {
+    let mut queue = busy_queue();
+    for _count in 0..20 {
+        queue
+            .offer(ms(0), request(2, 9_000, 9_000), "report")
+            .expect("room");
+    }
+
+    queue.offer(ms(0), request(0, 300, 400), "urgent").unwrap();
+}
+
+#[test]
+fn what_has_become_hopeless_is_refused_without_being_run() {
+    let mut queue = busy_queue();
+    queue
+        .offer(ms(0), request(0, 250, 300), "short")
+        .expect("room");
+
+    let refused = queue.refuse_hopeless(ms(299));
+
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].1.kind, ErrorKind::DeadlineBeforeStart);
+    assert_eq!(next(&mut queue, ms(300)), None);
+}
+
+#[test]
+fn a_withdrawn_request_never_starts() {
+    let mut queue = busy_queue();
+    let ticket = queue
+        .offer(ms(0), request(0, 400, 1_000), "gone")
+        .expect("room");
+
+    queue.withdraw(ticket);
+
+    assert_eq!(next(&mut queue, ms(100)), None);
+}
--- /dev/null
+++ b/tests/testsuite/mesh_upstream.rs
@@ -0,0 +1,112 @@
+//! Notices of the upstream beside a sidecar: late, crossed and repeated ones.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use buckthornwinch::peers::message::UpstreamPhase;
+use buckthornwinch::sidecar::upstream::LocalRegistry;
+use buckthornwinch::sidecar::upstream::LocalUpstream;
+use buckthornwinch::sidecar::upstream::UpstreamNotice;
+use buckthornwinch::sidecar::upstream::merge_notice;
+
+const SILENCE: Duration = Duration::from_secs(3);
+
+fn notice(instance: &str, born: u64, number: u64) -> UpstreamNotice {
+    UpstreamNotice {
+        instance: instance.into(),
+        born: Some(born),
+        number,
+        service: "orders".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 8080)),
+        slots: 18,
+        draining: false,
+    }
+}
+
+fn known(notice: &UpstreamNotice, heard: u64) -> LocalUpstream {
+    merge_notice(None, notice, Duration::from_millis(heard), SILENCE).expect("the first notice")
+}
+
+fn merge(known: &LocalUpstream, notice: &UpstreamNotice, now: u64) -> Option<LocalUpstream> {
+    merge_notice(Some(known), notice, Duration::from_millis(now), SILENCE)
+}
+
+#[test]
+fn a_late_notice_of_the_same_life_is_ignored() {
+    let known = known(&notice("a", 100, 5), 0);
+
+    assert_eq!(merge(&known, &notice("a", 100, 5), 10), None);
+    assert_eq!(merge(&known, &notice("a", 100, 4), 10), None);
+    assert!(merge(&known, &notice("a", 100, 6), 10).is_some());
+}
+
+#[test]
+fn a_new_life_under_the_same_name_counts_anew() {
+    let known = known(&notice("a", 100, 50), 0);
+
+    let merged = merge(&known, &notice("a", 900, 1), 1_000).expect("a new life");
+
+    assert_eq!(merged.life, known.life + 1);
+}
+
+#[test]
+fn a_notice_of_an_ended_life_does_not_replace_the_present_one() {
+    let known = known(&notice("b", 900, 1), 1_000);
+
+    assert_eq!(merge(&known, &notice("a", 100, 51), 1_100), None);
+}
+
+#[test]
+fn a_life_that_seems_older_counts_once_the_known_one_is_silent() {
+    let known = known(&notice("a", 5_000, 7), 0);
+
+    let merged = merge(&known, &notice("b", 3_000, 1), 4_000).expect("clocks may be set");
+
+    assert_eq!(merged.life, known.life + 1);
+}
+
+#[test]
+fn leaving_is_for_good_in_one_life() {
+    let mut leaving = notice("a", 100, 5);
+    leaving.draining = true;
+    let known = known(&leaving, 0);
+    assert_eq!(known.phase, UpstreamPhase::Draining);
+
+    assert_eq!(merge(&known, &notice("a", 100, 6), 10), None);
+}
+
+#[tokio::test]
+async fn a_refused_connection_ends_the_life_that_it_was_meant_for() {
+    let registry = LocalRegistry::new(Duration::from_secs(1));
+    registry.announce(&notice("a", 100, 1));
+    registry.announce(&notice("b", 900, 1));
+
+    registry.note_refused(1);
+    assert_eq!(
+        registry.current().map(|known| known.phase),
+        Some(UpstreamPhase::Ready)
+    );
+    registry.note_refused(2);
+
+    let known = registry.current().expect("known");
+    assert!(known.ended);
+    assert_eq!(known.phase, UpstreamPhase::Absent);
+}
+
+#[tokio::test]
+async fn deregistering_names_the_instance_that_leaves() {
+    let registry = LocalRegistry::new(Duration::from_secs(1));
+    registry.announce(&notice("a", 100, 1));
+
+    registry.leave("other");
+    assert_eq!(
+        registry.current().map(|known| known.phase),
+        Some(UpstreamPhase::Ready)
+    );
+    registry.leave("a");
+
+    assert_eq!(
+        registry.current().map(|known| known.phase),
+        Some(UpstreamPhase::Draining)
+    );
+}
--- /dev/null
+++ b/tests/testsuite/routes.rs
@@ -0,0 +1,148 @@
+//! Routes: lookup, weighted split and checks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use buckthornwinch::routes::check::check_configuration;
+use buckthornwinch::routes::configuration::CallerLimits;
+use buckthornwinch::routes::configuration::HostRoutes;
+use buckthornwinch::routes::configuration::RouteConfiguration;
+use buckthornwinch::routes::configuration::RouteRule;
+use buckthornwinch::routes::configuration::ServicePolicy;
+use buckthornwinch::routes::configuration::WeightedService;
+use buckthornwinch::routes::split::WeightedSplit;
+use buckthornwinch::routes::table::RouteTable;
+use proptest::prelude::*;
+
+fn rule(name: &str, prefix: &str) -> RouteRule {
+    RouteRule {
+        name: name.into(),
+        prefix: prefix.into(),
+        idempotent: true,
+        target: Duration::from_millis(400),
+        rank: 0,
+        timeout: Duration::from_millis(1_200),
+        attempts: 2,
+        destinations: vec![WeightedService {
+            service: "orders".into(),
+            weight: 1,
+        }],
+    }
+}
+
+fn configuration(rules: Vec<RouteRule>) -> RouteConfiguration {
+    RouteConfiguration {
+        version: 4,
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 1_000_000,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+        hosts: vec![HostRoutes {
+            host: "shop.example".into(),
+            rules,
+        }],
+        services: vec![ServicePolicy {
+            name: "orders".into(),
+            connections: 130,
+            divided: false,
+        }],
+    }
+}
+
+fn table(rules: Vec<RouteRule>) -> RouteTable {
+    RouteTable::new(Arc::new(configuration(rules)))
+}
+
+fn found(table: &RouteTable, host: &str, path: &str) -> Option<Box<str>> {
+    table.find(host, path).map(|route| route.rule.name.clone())
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let table = table(vec![
+        rule("short", "/a/"),
+        rule("long", "/a/b/"),
+        rule("root", "/"),
+    ]);
+
+    assert_eq!(
+        found(&table, "shop.example", "/a/b/c").as_deref(),
+        Some("long")
+    );
+    assert_eq!(
+        found(&table, "shop.example", "/a/b").as_deref(),
+        Some("short")
+    );
+    assert_eq!(
+        found(&table, "shop.example", "/ab/c").as_deref(),
+        Some("root")
+    );
+}
+
+#[test]
+fn the_host_is_compared_without_port_and_case() {
+    let table = table(vec![rule("only", "/a/")]);
+
+    assert!(found(&table, "Shop.Example:8080", "/a/x").is_some());
+    assert_eq!(found(&table, "other.example", "/a/x"), None);
+    assert_eq!(found(&table, "shop.example", "/b/x"), None);
+}
+
+#[test]
+fn a_split_follows_the_weights_exactly() {
+    let parts: Vec<WeightedService> = [("a", 90), ("b", 10), ("c", 0)]
+        .iter()
+        .map(|(service, weight)| WeightedService {
+            service: (*service).into(),
+            weight: *weight,
+        })
+        .collect();
+    let mut split = WeightedSplit::default();
+
+    let mut counts = [0; 3];
+    for _request in 0..300 {
+        counts[split.next(&parts).expect("a service")] += 1;
+    }
+
+    assert_eq!(counts, [270, 30, 0]);
+}
+
+#[test]
+fn faulty_configurations_are_refused_with_the_route_that_has_the_fault() {
+    let mut no_slash = rule("r", "/a");
+    no_slash.prefix = "/a".into();
+    let mut no_attempts = rule("r", "/a/");
+    no_attempts.attempts = 0;
+    let mut unknown = rule("r", "/a/");
+    unknown.destinations[0].service = "nobody".into();
+    let mut no_weight = rule("r", "/a/");
+    no_weight.destinations[0].weight = 0;
+    for fault in [no_slash, no_attempts, unknown, no_weight] {
+        let error = check_configuration(&configuration(vec![fault])).expect_err("a fault");
+
+        assert!(error.to_string().contains("`r`"), "{error}");
+    }
+    let twice = configuration(vec![rule("x", "/a/"), rule("y", "/a/")]);
+    assert!(check_configuration(&twice).is_err());
+    check_configuration(&configuration(vec![rule("x", "/a/")])).unwrap();
+}
+
+proptest! {
+    #[test]
+    fn a_lookup_agrees_with_a_search_of_every_prefix(path in "/([ab]/?){0,6}") {
+        let prefixes = ["/", "/a/", "/a/b/", "/b/", "/a/b/a/"];
+        let rules = prefixes.iter().map(|prefix| rule(prefix, prefix)).collect();
+        let naive = prefixes
+            .iter()
+            .filter(|prefix| path.starts_with(**prefix))
+            .max_by_key(|prefix| prefix.len());
+
+        let table = table(rules);
+
+        let chosen = found(&table, "shop.example", &path);
+
+        prop_assert_eq!(chosen.as_deref(), naive.copied());
+    }
+}
--- /dev/null
+++ b/tests/testsuite/slot_queue.rs
@@ -0,0 +1,71 @@
+//! The slots of one upstream.
+
+use std::time::Duration;
+
+use buckthornwinch::admission::deadline_queue::QueueRefusal;
+use buckthornwinch::admission::slot_queue::SlotDemand;
+use buckthornwinch::admission::slot_queue::SlotOutcome;
+use buckthornwinch::admission::slot_queue::SlotQueue;
+use buckthornwinch::base::error::ErrorKind;
+use tokio::time::Instant;
+
+fn demand(rank: u8) -> SlotDemand<'static> {
+    let now = Instant::now();
+    SlotDemand {
+        kind: "lookup",
+        rank,
+        target: now + Duration::from_millis(400),
+        deadline: now + Duration::from_secs(2),
+    }
+}
+
+fn queue(slots: u32) -> SlotQueue {
+    let queue = SlotQueue::new();
+    queue.set_slots(slots);
+    queue
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slot_that_is_given_back_starts_the_next_request() {
+    let queue = queue(1);
+    let first = queue.acquire(demand(0)).await.expect("a slot");
+    let waiter = queue.clone();
+    let waiting = tokio::spawn(async move { waiter.acquire(demand(0)).await });
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    assert_eq!(queue.gauge().waiting, 1);
+
+    first.finish(SlotOutcome::Answered);
+
+    let second = waiting.await.expect("no panic").expect("a slot");
+    assert_eq!(queue.gauge().running, 1);
+    drop(second);
+    assert_eq!(queue.gauge().running, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_waiter_that_is_dropped_leaves_the_queue() {
+    let queue = queue(1);
+    let _first = queue.acquire(demand(0)).await.expect("a slot");
+
+    let given_up = tokio::time::timeout(Duration::from_millis(10), queue.acquire(demand(0))).await;
+
+    given_up.unwrap_err();
+    assert_eq!(queue.gauge().waiting, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_upstream_that_leaves_refuses_what_waits() {
+    let queue = queue(1);
+    let _first = queue.acquire(demand(0)).await.expect("a slot");
+    let waiter = queue.clone();
+    let waiting = tokio::spawn(async move { waiter.acquire(demand(0)).await });
+    tokio::time::sleep(Duration::from_millis(5)).await;
+
+    queue.refuse_waiting(QueueRefusal {
+        kind: ErrorKind::Draining,
+        retry_after: None,
+    });
+
+    let refusal = waiting.await.expect("no panic").expect_err("refused");
+    assert_eq!(refusal.kind, ErrorKind::Draining);
+}
