placement, ranges, sidecar: spread by capacity, move to several owners at once, tell map changes by datagram

Change: the writer of a map tells the edit by datagram and the fleet's topic is read at the start and now and then; two upstreams drawn by capacity are compared, with the load that answers carry; the excess of an owner goes to several others in one move; reports leave out the names once known.

--- a/src/admission/slot_queue.rs
+++ b/src/admission/slot_queue.rs
@@ -26,7 +26,7 @@
 
 /// A new sample moves the utilization and the rate by this part: at twenty
 /// samples a second they follow the last second or so.
-const METER_WEIGHT: f32 = 0.08;
+const METER_WEIGHT: f32 = 0.1;
 
 /// A new verdict moves the failing part by this part.
 const FAILING_WEIGHT: f32 = 1.0 / 24.0;
@@ -68,7 +68,8 @@
     pub waiting: u32,
     /// Smoothed time for which a request holds a slot.
     pub service: Duration,
-    /// Smoothed slots in use and requests waiting, over the slots.
+    /// Smoothed slots in use and requests waiting, over the slots; or the work
+    /// that is asked for, where that is more since much of it is refused.
     pub utilization: f32,
     /// Smoothed requests a second.
     pub rate: f32,
@@ -151,8 +152,10 @@
         let refused = {
             let mut state = self.lock();
             let busy = state.queue.running() + state.queue.waiting() as u32;
-            let utilization = busy as f32 / state.queue.slots().max(1) as f32;
+            let slots = state.queue.slots().max(1) as f32;
             let rate = state.arrivals as f32 / interval.as_secs_f32();
+            let asked = rate * state.queue.service().as_secs_f32();
+            let utilization = (busy as f32).max(asked) / slots;
             state.arrivals = 0;
             state.utilization += (utilization - state.utilization) * METER_WEIGHT;
             state.rate += (rate - state.rate) * METER_WEIGHT;
--- a/src/peers/directory.rs
+++ b/src/peers/directory.rs
@@ -1,6 +1,7 @@
 //! The members that are known, and their newest reports.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::message::MemberRecord;
@@ -16,6 +17,17 @@
 /// datagrams in a row are common on a link that drops some.
 const SILENT_INTERVALS: u32 = 3;
 
+/// What a report told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportVerdict {
+    /// Who reported is not known, and the report does not say.
+    Unknown,
+    /// Nothing that others should be told at once.
+    Known,
+    /// The member, or what it takes, is news.
+    News,
+}
+
 /// One known member.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KnownPeer {
@@ -92,20 +104,19 @@
         self.peers.remove(node);
     }
 
-    /// Takes a report. True if the member, or what it takes, is news.
-    pub fn report(&mut self, report: PeerReport, now: Duration) -> bool {
-        let incarnation = report.member.incarnation;
+    /// Takes a report.
+    pub fn report(&mut self, report: PeerReport, now: Duration) -> ReportVerdict {
+        let incarnation = report.incarnation;
         if incarnation == self.own {
-            return false;
+            return ReportVerdict::Known;
         }
-        let node = report.member.node.clone();
-        let is_new = self.announce(report.member);
-        let Some(peer) = self.peers.get_mut(&node) else {
-            return false;
+        let is_new = report.member.is_some_and(|member| self.announce(member));
+        let mut known = self.peers.values_mut();
+        let Some(peer) = known.find(|peer| peer.member.incarnation == incarnation) else {
+            return ReportVerdict::Unknown;
         };
-        let outdated = peer.member.incarnation != incarnation || peer.number > report.number;
-        if outdated {
-            return is_new;
+        if peer.number > report.number {
+            return ReportVerdict::Known;
         }
         let took = peer.takes_requests();
         peer.gauge = report.gauge;
@@ -114,7 +125,20 @@
         peer.leaving = report.leaving;
         peer.number = report.number;
         let was_heard = peer.heard.replace(now).is_some();
-        is_new || !was_heard || took != peer.takes_requests()
+        if is_new || !was_heard || took != peer.takes_requests() {
+            ReportVerdict::News
+        } else {
+            ReportVerdict::Known
+        }
+    }
+
+    /// A member does not know this process, so it has to be introduced again.
+    pub fn forget_heard(&mut self, address: SocketAddr) {
+        for peer in self.peers.values_mut() {
+            if peer.member.address == address {
+                peer.heard = None;
+            }
+        }
     }
 
     /// Returns every known member but this process.
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -12,6 +12,7 @@
 use crate::base::ids::Offset;
 use crate::base::ids::ServiceName;
 use crate::base::ids::Version;
+use crate::ranges::edit::MapEdit;
 
 /// What a process announces in the store when it starts.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -71,7 +72,10 @@
 #[derive(Serialize, Deserialize)]
 pub struct PeerReport {
     /// Who it is.
-    pub member: MemberRecord,
+    pub incarnation: Incarnation,
+    /// The rest of who it is, for those that may not know it yet: names are
+    /// much longer than all the numbers.
+    pub member: Option<MemberRecord>,
     /// Grows with each report, so that a late one is recognised.
     pub number: u64,
     /// Its upstream.
@@ -90,6 +94,17 @@
 pub enum PeerDatagram {
     /// A process reports about itself.
     Report(Box<PeerReport>),
+    /// A process does not know who reported, and asks.
+    AskMember,
+    /// The range map was changed in the store.
+    MapEdited {
+        /// Offset of the map that was changed.
+        base: Offset,
+        /// Offset of the changed map.
+        at: Offset,
+        /// The change.
+        edit: MapEdit,
+    },
     /// A holder asks a voter to renew its lease.
     Renew {
         /// The holder.
--- a/src/ranges/edit.rs
+++ b/src/ranges/edit.rs
@@ -6,6 +6,9 @@
 
 use std::net::SocketAddr;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use super::RangeKey;
 use super::map::KeyRange;
 use super::map::RangeHolder;
@@ -17,8 +20,91 @@
 use crate::base::ids::Offset;
 use crate::base::ids::ServiceName;
 
+/// A change of the map. Every process that knows the map it is based on gets
+/// the same next map from it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum MapEdit {
+    /// Processes become holders.
+    Adopt {
+        /// The services that are divided by key.
+        divided: Vec<ServiceName>,
+        /// The processes.
+        candidates: Vec<HolderCandidate>,
+    },
+    /// A holder names other voters.
+    NameVoters {
+        /// The holder.
+        holder: Incarnation,
+        /// Its voters from now on.
+        voters: Vec<RangeVoter>,
+    },
+    /// A holder has lapsed, and others divide its keys.
+    Expel {
+        /// The holder.
+        holder: Incarnation,
+        /// The term that its voters refuse.
+        term: Offset,
+        /// Who divides its keys.
+        targets: Vec<Incarnation>,
+    },
+    /// Keys without an owner are divided.
+    Assign {
+        /// The service.
+        service: ServiceName,
+        /// Who divides them.
+        targets: Vec<Incarnation>,
+    },
+    /// An owner gives keys away.
+    Transfer {
+        /// The service.
+        service: ServiceName,
+        /// The owner.
+        owner: Incarnation,
+        /// The keys.
+        transfers: Vec<RangeTransfer>,
+    },
+}
+
+impl MapEdit {
+    /// Returns the next map, whose record will have the offset `at`; none if
+    /// there is nothing to change or the edit does not fit the map.
+    pub fn apply(&self, map: &RangeMap, at: Offset) -> Option<RangeMap> {
+        match self {
+            Self::Adopt {
+                divided,
+                candidates,
+            } => adopt_all(map, divided, candidates, at),
+            Self::NameVoters { holder, voters } => name_voters(map, *holder, voters, at),
+            Self::Expel {
+                holder,
+                term,
+                targets,
+            } => expel(map, *holder, *term, targets, at),
+            Self::Assign { service, targets } => assign_unowned(map, service, targets, at),
+            Self::Transfer {
+                service,
+                owner,
+                transfers,
+            } => transfer(map, service, *owner, transfers, at),
+        }
+    }
+
+    /// Returns the edit's name in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Adopt { .. } => "adopt",
+            Self::NameVoters { .. } => "name-voters",
+            Self::Expel { .. } => "expel",
+            Self::Assign { .. } => "assign",
+            Self::Transfer { .. } => "transfer",
+        }
+    }
+}
+
 /// A process that asks to become a holder.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HolderCandidate {
     /// The process.
     pub incarnation: Incarnation,
@@ -35,6 +121,7 @@
 
 /// Keys that go to another owner.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RangeTransfer {
     /// The first key.
     pub first: RangeKey,
@@ -46,6 +133,21 @@
     pub handover: Option<Box<str>>,
 }
 
+/// Lists the divided services and makes every candidate a holder.
+pub fn adopt_all(
+    map: &RangeMap,
+    divided: &[ServiceName],
+    candidates: &[HolderCandidate],
+    at: Offset,
+) -> Option<RangeMap> {
+    let mut edited = list_services(map, divided);
+    for candidate in candidates {
+        let adopted = adopt(edited.as_ref().unwrap_or(map), candidate, at);
+        edited = adopted.or(edited);
+    }
+    edited
+}
+
 /// Makes a process a holder. An older process at its address has ended, since
 /// no two can be bound to it; its ranges stay with the upstream beside both.
 pub fn adopt(map: &RangeMap, candidate: &HolderCandidate, at: Offset) -> Option<RangeMap> {
--- a/src/ranges/heat.rs
+++ b/src/ranges/heat.rs
@@ -37,19 +37,46 @@
         self.counts.values().sum()
     }
 
-    /// Finds the narrowest run of keys inside one of `ranges` that holds close
-    /// to `part` of all counts, and no more; none if every run holds much less,
-    /// as when one key alone holds more.
-    pub fn window(&self, ranges: &[KeyRange], part: f32) -> Option<(RangeKey, RangeKey)> {
-        let allowed = self.total() * part;
-        let mut sorted: Vec<(RangeKey, f32)> = self.counts.iter().map(|(k, c)| (*k, *c)).collect();
-        sorted.sort_unstable_by_key(|(key, _count)| *key);
+    /// Finds, for each of `parts`, a run of keys that holds about that part of
+    /// all counts. The runs are cut one after the other from the narrowest run
+    /// that holds the sum of the parts. Fewer are returned where single keys
+    /// hold more than a part.
+    pub fn windows(&self, ranges: &[KeyRange], parts: &[f32]) -> Vec<(RangeKey, RangeKey)> {
+        let total = self.total();
+        let wanted: f32 = parts.iter().sum();
+        let sorted = self.sorted();
         let windows = ranges
             .iter()
-            .flat_map(|range| range_windows(&sorted, range, allowed));
-        let good = windows.filter(|window| window.heat >= allowed * GOOD_PART);
-        good.min_by_key(|window| window.last - window.first)
-            .map(|window| (window.first, window.last))
+            .flat_map(|range| range_windows(&sorted, range, total * wanted));
+        let best = windows
+            .filter(|window| window.heat >= total * wanted * GOOD_PART)
+            .min_by_key(|window| window.last - window.first);
+        let Some(best) = best else {
+            return Vec::new();
+        };
+        let inside = sorted
+            .iter()
+            .filter(|(key, _count)| best.first <= *key && *key <= best.last);
+        let mut cut = Vec::new();
+        let (mut first, mut heat) = (None, 0.0);
+        for (key, count) in inside {
+            let Some(part) = parts.get(cut.len()) else {
+                break;
+            };
+            first.get_or_insert(*key);
+            heat += count;
+            if heat >= total * part * GOOD_PART || *key == best.last {
+                cut.extend(first.take().map(|first| (first, *key)));
+                heat = 0.0;
+            }
+        }
+        cut
+    }
+
+    fn sorted(&self) -> Vec<(RangeKey, f32)> {
+        let mut sorted: Vec<(RangeKey, f32)> = self.counts.iter().map(|(k, c)| (*k, *c)).collect();
+        sorted.sort_unstable_by_key(|(key, _count)| *key);
+        sorted
     }
 }
 
--- a/src/ranges/shed.rs
+++ b/src/ranges/shed.rs
@@ -2,8 +2,8 @@
 //!
 //! Answers two load patterns: a few neighbouring keys that suddenly take much
 //! of a service's requests, and an owner that joined without keys. Every owner
-//! decides for itself from what the others report, and gives the narrowest run
-//! of keys that evens out the two loads, so that few keys change hands.
+//! decides for itself from what the others report, and gives narrow runs of keys
+//! that even out the loads, so that few keys change hands.
 
 use super::RangeKey;
 use super::heat::KeyHeat;
@@ -20,6 +20,10 @@
 /// Least part of its own load that an owner gives away.
 const LEAST_PART: f32 = 0.04;
 
+/// Most owners that take keys in one move: each one's keys are a range of its
+/// own from then on, which costs a call at every renewal.
+const MOST_TAKERS: usize = 8;
+
 /// How loaded an owner is.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct OwnerPressure {
@@ -46,7 +50,7 @@
 
 /// Keys to give away.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ShedPlan {
+pub struct ShedPart {
     /// The first key.
     pub first: RangeKey,
     /// The last key, inclusive.
@@ -55,34 +59,49 @@
     pub target: Incarnation,
 }
 
-/// Decides what `own` gives away; none if nothing pays.
+/// Decides what `own` gives away; nothing if nothing pays.
+///
+/// The excess over the mean goes to the idlest owners in one move, each taking
+/// as much as lifts it to the mean.
 pub fn plan_shed(
     own: OwnerPressure,
     others: &[OwnerPressure],
     ranges: &[KeyRange],
     heat: &KeyHeat,
-) -> Option<ShedPlan> {
-    if own.utilization < BUSY_UTILIZATION || own.rate < 1.0 {
-        return None;
+) -> Vec<ShedPart> {
+    if own.utilization < BUSY_UTILIZATION || own.rate < 1.0 || others.is_empty() {
+        return Vec::new();
     }
-    let target = others
+    let total: f32 = others.iter().map(|other| other.utilization).sum();
+    let mean = (total + own.utilization) / (others.len() + 1) as f32;
+    let mut takers: Vec<&OwnerPressure> = others
         .iter()
-        .min_by(|left, right| left.utilization.total_cmp(&right.utilization))?;
-    let difference = own.utilization - target.utilization;
-    if difference < LEAST_DIFFERENCE {
-        return None;
-    }
+        .filter(|other| own.utilization - other.utilization >= LEAST_DIFFERENCE)
+        .filter(|other| other.utilization < mean)
+        .collect();
+    takers.sort_unstable_by(|left, right| left.utilization.total_cmp(&right.utilization));
+    takers.truncate(MOST_TAKERS);
     let own_capacity = own.capacity(own.rate);
-    let target_capacity = target.capacity(own_capacity * target.slots / own.slots.max(1.0));
-    let even_rate = difference / (1.0 / own_capacity + 1.0 / target_capacity.max(1.0));
-    let part = (even_rate / own.rate).min(1.0);
-    if part < LEAST_PART {
-        return None;
+    let mut excess = (own.utilization - mean) * own_capacity / own.rate;
+    let mut shares = Vec::new();
+    for taker in takers {
+        let like_own = own_capacity * taker.slots / own.slots.max(1.0);
+        let room = (mean - taker.utilization) * taker.capacity(like_own) / own.rate;
+        let share = room.min(excess);
+        if share < LEAST_PART {
+            continue;
+        }
+        excess -= share;
+        shares.push((taker.incarnation, share));
     }
-    let (first, last) = heat.window(ranges, part)?;
-    Some(ShedPlan {
-        first,
-        last,
-        target: target.incarnation,
-    })
+    let parts: Vec<f32> = shares.iter().map(|(_taker, share)| *share).collect();
+    let windows = heat.windows(ranges, &parts);
+    let pairs = shares.iter().zip(windows);
+    pairs
+        .map(|((target, _share), (first, last))| ShedPart {
+            first,
+            last,
+            target: *target,
+        })
+        .collect()
 }
--- a/src/sidecar/dispatch.rs
+++ b/src/sidecar/dispatch.rs
@@ -25,6 +25,7 @@
 use super::owner::SidecarOwner;
 use super::settings::SidecarSettings;
 use super::upstream::UpstreamPort;
+use crate::admission::load::OwnerLoad;
 use crate::base::boot_clock::since_boot;
 use crate::base::collections::FastMap;
 use crate::base::error::ErrorKind;
@@ -120,6 +121,29 @@
 struct CountedLink {
     link: PeerLink,
     in_flight: Arc<AtomicU32>,
+    learned: Arc<Mutex<LearnedLoad>>,
+}
+
+/// The load that the newest answer told, and what was sent since.
+#[derive(Debug, Clone, Copy, Default)]
+struct LearnedLoad {
+    load: OwnerLoad,
+    at: Duration,
+    sent_since: u32,
+}
+
+impl CountedLink {
+    fn learned(&self) -> MutexGuard<'_, LearnedLoad> {
+        self.learned.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn learn(&self) {
+        *self.learned() = LearnedLoad {
+            load: self.link.load(),
+            at: since_boot(),
+            sent_since: 0,
+        };
+    }
 }
 
 /// Counts a request as being at a process until dropped.
@@ -410,13 +434,17 @@
             ));
         };
         let _flight = FlightGuard::new(&link.in_flight);
+        link.learned().sent_since += 1;
         let call = link.link.call(order);
         tokio::pin!(call);
         loop {
             let look = Instant::now() + LIVENESS_INTERVAL;
             let until = look.min(planned.deadline);
             match timeout_at(until, &mut call).await {
-                Ok(result) => return result,
+                Ok(result) => {
+                    link.learn();
+                    return result;
+                }
                 Err(_elapsed) if until >= planned.deadline => {
                     return Err(OrderFailure::new(
                         ErrorKind::DeadlineAfterStart,
@@ -469,6 +497,7 @@
             targets.push(OrderTarget::Here);
             candidates.push(PlacementCandidate {
                 gauge: upstream_gauge(gauge.0, gauge.1),
+                age: Duration::ZERO,
                 unreported: 0,
                 same_domain: true,
                 fresh: true,
@@ -481,16 +510,18 @@
                 .peers()
                 .filter(|peer| peer.member.service == planned.service && peer.takes_requests());
             for peer in serving {
-                let in_flight = links
-                    .get(&peer.member.incarnation)
-                    .map_or(0, |link| link.in_flight.load(Ordering::Relaxed));
                 targets.push(OrderTarget::Peer(peer.member.incarnation));
-                candidates.push(PlacementCandidate {
+                let mut candidate = PlacementCandidate {
                     gauge: peer.gauge,
-                    unreported: unreported(in_flight, &peer.gauge),
+                    age: now.saturating_sub(peer.heard().unwrap_or_default()),
+                    unreported: 0,
                     same_domain: peer.member.domain == fleet.own().domain,
                     fresh: is_fresh(peer, now, interval),
-                });
+                };
+                if let Some(link) = links.get(&peer.member.incarnation) {
+                    add_learned(&mut candidate, link, now);
+                }
+                candidates.push(candidate);
             }
         }
         // A second attempt goes elsewhere, if there is an elsewhere.
@@ -532,6 +563,7 @@
                 shared.numbers.clone(),
             ),
             in_flight: Arc::default(),
+            learned: Arc::default(),
         };
         links.insert(peer, link.clone());
         Some(link)
@@ -573,11 +605,18 @@
     }
 }
 
-/// Requests that this entry has at an upstream and that its report does not
-/// show yet: about those beyond what it reported as busy.
-fn unreported(in_flight: u32, gauge: &crate::peers::message::UpstreamGauge) -> u32 {
-    let reported = u32::from(gauge.running) + u32::from(gauge.waiting);
-    in_flight.saturating_sub(reported)
+/// Adds what this entry's own requests showed of an upstream: the load that an
+/// answer told, if that is newer than the report, and what was sent since.
+fn add_learned(candidate: &mut PlacementCandidate, link: &CountedLink, now: Duration) {
+    let learned = *link.learned();
+    let in_flight = link.in_flight.load(Ordering::Relaxed);
+    candidate.unreported = learned.sent_since.min(in_flight);
+    let age = now.saturating_sub(learned.at);
+    if age < candidate.age && learned.load.limit > 0 {
+        candidate.age = age;
+        candidate.gauge.running = u16::try_from(learned.load.running).unwrap_or(u16::MAX);
+        candidate.gauge.waiting = u16::try_from(learned.load.waiting).unwrap_or(u16::MAX);
+    }
 }
 
 /// Tells whether the request reached an upstream, or may have.
--- a/src/sidecar/duties.rs
+++ b/src/sidecar/duties.rs
@@ -8,8 +8,8 @@
 use crate::base::ids::Incarnation;
 use crate::base::ids::Offset;
 use crate::base::ids::ServiceName;
-use crate::ranges::edit;
 use crate::ranges::edit::HolderCandidate;
+use crate::ranges::edit::MapEdit;
 use crate::ranges::map::KeyRange;
 use crate::ranges::map::RangeMap;
 
@@ -29,8 +29,6 @@
     pub service: &'a str,
     /// The newest map.
     pub map: &'a RangeMap,
-    /// Offset that the next record will have.
-    pub at: Offset,
     /// The services that are divided by key.
     pub divided: &'a [ServiceName],
     /// Live processes, this one included, whose upstream takes requests and
@@ -66,27 +64,28 @@
     }
 
     /// Makes every candidate a holder, if this process is one and is none yet.
-    pub fn adopt_candidates(&self) -> Option<RangeMap> {
+    pub fn adopt_candidates(&self) -> Option<MapEdit> {
         if !self.is_candidate() || self.map.holder(self.own).is_some() {
             return None;
         }
-        let mut edited =
-            edit::list_services(self.map, self.divided).unwrap_or_else(|| self.map.clone());
-        for candidate in self.candidates {
-            if let Some(adopted) = edit::adopt(&edited, candidate, self.at) {
-                edited = adopted;
-            }
-        }
-        edited.holder(self.own).is_some().then_some(edited)
+        let missing =
+            |candidate: &&HolderCandidate| self.map.holder(candidate.incarnation).is_none();
+        Some(MapEdit::Adopt {
+            divided: self.divided.to_vec(),
+            candidates: self.candidates.iter().filter(missing).cloned().collect(),
+        })
     }
 
     /// Assigns the keys of this process's service that nobody owns, once that
     /// has been the case for `noticed`.
-    pub fn assign_unowned(&self, noticed: Duration) -> Option<RangeMap> {
+    pub fn assign_unowned(&self, noticed: Duration) -> Option<MapEdit> {
         if noticed < ASSIGN_DELAY + self.stagger() || !self.has_unowned() {
             return None;
         }
-        edit::assign_unowned(self.map, self.service, &self.mates(), self.at)
+        Some(MapEdit::Assign {
+            service: self.service.into(),
+            targets: self.mates(),
+        })
     }
 
     /// Tells whether keys of this process's service have no owner.
@@ -96,13 +95,17 @@
     }
 
     /// Ends a holder that its voters refuse, and divides its keys.
-    pub fn expel(&self, holder: Incarnation, term: Offset, noticed: Duration) -> Option<RangeMap> {
+    pub fn expel(&self, holder: Incarnation, term: Offset, noticed: Duration) -> Option<MapEdit> {
         if noticed < self.stagger() {
             return None;
         }
-        let mut mates = self.mates();
-        mates.retain(|mate| *mate != holder);
-        edit::expel(self.map, holder, term, &mates, self.at)
+        let mut targets = self.mates();
+        targets.retain(|mate| *mate != holder);
+        Some(MapEdit::Expel {
+            holder,
+            term,
+            targets,
+        })
     }
 
     /// Returns the keys that this process, as the owner of most, gives to a
--- a/src/sidecar/fleet.rs
+++ b/src/sidecar/fleet.rs
@@ -1,6 +1,7 @@
 //! The configuration, the range map and the members, as this process knows
 //! them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -18,9 +19,11 @@
 use crate::base::ids::Offset;
 use crate::peers::directory::PeerDirectory;
 use crate::peers::message::MemberRecord;
+use crate::ranges::edit::MapEdit;
 use crate::ranges::map::RangeMap;
 use crate::routes::configuration::RouteConfiguration;
 use crate::routes::table::RouteTable;
+use crate::store::StoreTopic;
 
 /// Shortest time between two reports of a process.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
@@ -64,8 +67,12 @@
     /// Offset that the next record of the fleet's topic will get, as this
     /// process last read it.
     end: watch::Sender<Option<Offset>>,
-    /// Fires when the store should be read at once.
-    pub nudge: Notify,
+    /// Fires when the operator's topic should be read at once.
+    pub nudge_operator: Notify,
+    /// Fires when the fleet's topic should be read at once.
+    pub nudge_fleet: Notify,
+    /// Fires when another process is known to know more.
+    pub behind: Notify,
     /// Fires when a report should be sent at once.
     pub report_now: Notify,
 }
@@ -80,7 +87,9 @@
             map: watch::channel(MapView::default()).0,
             directory,
             end: watch::channel(None).0,
-            nudge: Notify::new(),
+            nudge_operator: Notify::new(),
+            nudge_fleet: Notify::new(),
+            behind: Notify::new(),
             report_now: Notify::new(),
         }
     }
@@ -133,6 +142,14 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns what fires when a topic should be read at once.
+    pub fn nudge(&self, topic: StoreTopic) -> &Notify {
+        match topic {
+            StoreTopic::Operator => &self.nudge_operator,
+            StoreTopic::Fleet => &self.nudge_fleet,
+        }
+    }
+
     /// Returns how often reports are sent.
     pub fn report_interval(&self) -> Duration {
         let members = self.directory().peers().count() as u32;
@@ -177,6 +194,28 @@
         })
     }
 
+    /// Takes a change of the map that another process wrote. One that is based
+    /// on a map which this process does not know is caught up with.
+    pub fn take_edit(&self, base: Offset, at: Offset, edit: &MapEdit) {
+        let view = self.map();
+        if view.offset >= at {
+            return;
+        }
+        let edited = (view.offset == base).then(|| edit.apply(&view.map, at));
+        match edited.flatten() {
+            Some(map) => {
+                self.offer_map(map, at);
+                self.reach_end(at + 1);
+            }
+            None => self.behind.notify_one(),
+        }
+    }
+
+    /// Introduces this process again to the one at an address.
+    pub fn forget_heard(&self, address: SocketAddr) {
+        self.directory().forget_heard(address);
+    }
+
     /// Returns the version of the configuration in force; 0 for none.
     pub fn configuration_version(&self) -> u64 {
         let routes = self.routes.borrow();
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -1,14 +1,16 @@
 //! Keeps the fleet's state up to date from the store.
 //!
-//! Each topic is read by one long read at a time, so that the store is called
-//! about as often as something changes. A connection to the store may fall
-//! silent unnoticed; the reports of other processes show when this one has
-//! missed something. It then reads at once, and asks the peer itself if the
-//! store does not answer.
+//! Every call to the store is paid for. The operator's topic is followed by long
+//! reads, about one for each change. The fleet's own topic is read at the start,
+//! after a conflict, and now and then: whoever changes the map tells the others
+//! directly. A connection to the store may fall silent unnoticed; the reports of
+//! other processes show when this one has missed something. It then reads at
+//! once, and asks the peer itself.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::RngExt;
 use tokio::time::sleep;
 
 use super::fleet::FleetState;
@@ -26,20 +28,28 @@
 use crate::store::StoreTopic;
 use crate::transport::state::fetch_encoded;
 
-/// Longest wait of one read: every call is paid for, and silence is noticed by
+/// Longest wait of one read, as long as the store allows: silence is noticed by
 /// other means.
-const LONG_READ: Duration = Duration::from_secs(20);
+const LONG_READ: Duration = Duration::from_secs(30);
 
 /// First and longest wait after a failed call.
 const RETRY_WAITS: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(800));
 
-/// Waits between two reads of the fleet's topic, so that members that start
-/// together are read together.
-const FLEET_PAUSE: Duration = Duration::from_millis(40);
+/// Pause after a read of the operator's topic that returned something: of
+/// changes in quick succession only the last one matters. A small part of the
+/// seconds that a change may take.
+const OPERATOR_PAUSE: Duration = Duration::from_millis(150);
+
+/// Pause between two reads of the fleet's topic, and what each member adds to
+/// it, so that a larger fleet does not call more often.
+const FLEET_PAUSE: (Duration, Duration) = (Duration::from_secs(8), Duration::from_millis(400));
 
 /// How often the reports of others are compared with what is known here.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Comparisons in a row after which the store is read on a fresh connection.
+const NUDGED_AFTER: u32 = 3;
+
 /// How long a peer may take to tell what it knows.
 const PEER_LIMIT: Duration = Duration::from_millis(500);
 
@@ -75,11 +85,8 @@
         let reading = read_on(&store, topic, next);
         let result = tokio::select! {
             result = reading => result,
-            () = fleet.nudge.notified() => {
-                // A fresh connection, in case the present one is silent.
-                next = None;
-                continue;
-            }
+            // Reads again on a fresh connection: the present one may be silent.
+            () = fleet.nudge(topic).notified() => continue,
         };
         match result {
             Ok(page) => {
@@ -89,8 +96,8 @@
                 backoff.reset();
                 next = Some(page.next);
                 apply(&page);
-                if topic == StoreTopic::Fleet && !page.records.is_empty() {
-                    sleep(FLEET_PAUSE).await;
+                if page.next >= page.end {
+                    pause(topic, &fleet, page.records.is_empty()).await;
                 }
             }
             Err(StoreError::Expired) => {
@@ -107,13 +114,36 @@
     }
 }
 
+/// Waits before the next read; a nudge ends the wait.
+async fn pause(topic: StoreTopic, fleet: &FleetState, was_empty: bool) {
+    let wait = match topic {
+        StoreTopic::Operator if was_empty => return,
+        StoreTopic::Operator => OPERATOR_PAUSE,
+        StoreTopic::Fleet => {
+            let members = fleet.directory().peers().count() as u32;
+            let longest = FLEET_PAUSE.0 + FLEET_PAUSE.1 * members;
+            longest.mul_f64(rand::rng().random_range(0.7..=1.3))
+        }
+    };
+    tokio::select! {
+        () = sleep(wait) => {}
+        () = fleet.nudge(topic).notified() => {}
+    }
+}
+
 async fn read_on<S: StateStore>(
     store: &S,
     topic: StoreTopic,
     next: Option<Offset>,
 ) -> Result<StorePage, StoreError> {
     match next {
-        Some(from) => store.read(topic, from, LONG_READ).await,
+        Some(from) => {
+            let wait = match topic {
+                StoreTopic::Operator => LONG_READ,
+                StoreTopic::Fleet => Duration::ZERO,
+            };
+            store.read(topic, from, wait).await
+        }
         None => store.newest(topic).await,
     }
 }
@@ -183,18 +213,22 @@
     let mut ticks = timer.subscribe(COMPARE_INTERVAL);
     let mut behind = 0_u32;
     loop {
-        ticks.next().await;
+        let told = tokio::select! {
+            _tick = ticks.next() => false,
+            () = fleet.behind.notified() => true,
+        };
         let Some(peer) = find_ahead(&fleet) else {
             behind = 0;
             continue;
         };
         behind += 1;
-        // The first time it may just be a moment slower.
-        if behind < 2 {
+        // The first time this process may just be a moment slower.
+        if behind < 2 && !told {
             continue;
         }
-        if behind == 2 {
-            fleet.nudge.notify_waiters();
+        if behind == NUDGED_AFTER {
+            fleet.nudge_operator.notify_waiters();
+            fleet.nudge_fleet.notify_waiters();
         }
         match fetch_encoded(peer.address, 0, PEER_LIMIT).await {
             Ok(Some(encoded)) => match fleet.install(&encoded) {
--- a/src/sidecar/gossip.rs
+++ b/src/sidecar/gossip.rs
@@ -14,6 +14,7 @@
 use crate::admission::slot_queue::SlotGauge;
 use crate::admission::slot_queue::SlotQueue;
 use crate::base::boot_clock::since_boot;
+use crate::peers::directory::ReportVerdict;
 use crate::peers::directory::is_fresh;
 use crate::peers::message::PeerDatagram;
 use crate::peers::message::PeerReport;
@@ -68,20 +69,30 @@
     }
 
     fn send(&self, number: u64) {
-        let report = PeerDatagram::Report(Box::new(PeerReport {
-            member: self.fleet.own().clone(),
+        let short = PeerReport {
+            incarnation: self.fleet.own().incarnation,
+            member: None,
             number,
             gauge: self.gauge(),
             configuration: self.fleet.configuration_version(),
             map: self.fleet.map().offset,
             leaving: *self.leaving.borrow(),
-        }));
-        for address in self.addresses(number) {
-            self.socket.send(address, &report);
+        };
+        let long = PeerReport {
+            member: Some(self.fleet.own().clone()),
+            ..short.clone()
+        };
+        let short = PeerDatagram::Report(Box::new(short));
+        let long = PeerDatagram::Report(Box::new(long));
+        for (address, introduced) in self.addressees(number) {
+            let report = if introduced { &short } else { &long };
+            self.socket.send(address, report);
         }
     }
 
-    fn addresses(&self, number: u64) -> Vec<SocketAddr> {
+    /// Returns who is told, and whether it has told something itself, so that
+    /// it most likely knows this process.
+    fn addressees(&self, number: u64) -> Vec<(SocketAddr, bool)> {
         let now = since_boot();
         let interval = self.fleet.report_interval();
         let directory = self.fleet.directory();
@@ -91,7 +102,8 @@
                 || is_fresh(peer, now, interval)
                 || peer.heard().is_none()
         });
-        told.map(|peer| peer.member.address).collect()
+        told.map(|peer| (peer.member.address, peer.heard().is_some()))
+            .collect()
     }
 
     fn gauge(&self) -> UpstreamGauge {
@@ -127,10 +139,15 @@
 ) {
     loop {
         match socket.receive::<PeerDatagram>().await {
-            Ok((_from, Ok(PeerDatagram::Report(report)))) => {
-                if fleet.directory().report(*report, since_boot()) {
-                    fleet.report_now.notify_one();
-                }
+            Ok((from, Ok(PeerDatagram::Report(report)))) => {
+                take_report(&socket, &fleet, from, *report);
+            }
+            Ok((from, Ok(PeerDatagram::AskMember))) => {
+                fleet.forget_heard(from);
+                fleet.report_now.notify_one();
+            }
+            Ok((_from, Ok(PeerDatagram::MapEdited { base, at, edit }))) => {
+                fleet.take_edit(base, at, &edit);
             }
             Ok((from, Ok(datagram))) => {
                 // A keeper that is behind loses votes, as the network may.
@@ -148,3 +165,12 @@
         }
     }
 }
+
+fn take_report(socket: &DatagramSocket, fleet: &FleetState, from: SocketAddr, report: PeerReport) {
+    let verdict = fleet.directory().report(report, since_boot());
+    match verdict {
+        ReportVerdict::Unknown => socket.send(from, &PeerDatagram::AskMember),
+        ReportVerdict::Known => {}
+        ReportVerdict::News => fleet.report_now.notify_one(),
+    }
+}
--- a/src/sidecar/keeper.rs
+++ b/src/sidecar/keeper.rs
@@ -41,8 +41,8 @@
 use crate::peers::message::PeerDatagram;
 use crate::peers::message::UpstreamPhase;
 use crate::ranges::RangeKey;
-use crate::ranges::edit;
 use crate::ranges::edit::HolderCandidate;
+use crate::ranges::edit::MapEdit;
 use crate::ranges::edit::RangeTransfer;
 use crate::ranges::edit::divide_evenly;
 use crate::ranges::heat::KeyHeat;
@@ -67,6 +67,7 @@
 use crate::store::StoreError;
 use crate::store::StoreTopic;
 use crate::transport::datagram::DatagramSocket;
+use crate::transport::datagram::encode_datagram;
 
 /// How often the keeper looks at what is due.
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
@@ -110,26 +111,13 @@
     Written(MapChange, Result<Offset, StoreError>),
 }
 
-/// Why the map is changed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ChangeCause {
-    /// Processes become holders.
-    Adopt,
-    /// This holder names other voters.
-    Voters,
-    /// Keys without an owner get one.
-    Assign,
-    /// A holder has lapsed.
-    Expel(Incarnation),
-    /// A planned move is finished.
-    Transfer,
-}
-
 /// A change of the map on its way to the store.
 #[derive(Debug, Clone)]
 pub struct MapChange {
-    /// Why.
-    pub cause: ChangeCause,
+    /// The change.
+    pub edit: MapEdit,
+    /// Offset of the map that is changed.
+    pub base: Offset,
     /// The changed map.
     pub map: RangeMap,
     /// The offset that its record will have.
@@ -346,18 +334,19 @@
         let now = since_boot();
         match result {
             Ok(offset) => {
-                log::info!(cause:? = change.cause, offset = offset; "ranges: wrote the map");
+                log::info!(edit = change.edit.name(), base = change.base, offset = offset; "ranges: wrote the map");
                 self.metrics.map_writes.inc();
                 self.next_change = Some(now);
                 self.fleet.offer_map(change.map, offset);
                 self.fleet.reach_end(offset + 1);
+                self.tell_change(change.base, offset, change.edit);
             }
             Err(error) => {
-                log::info!(cause:? = change.cause, at = change.at, error:% = error; "ranges: the map was not written");
+                log::info!(edit = change.edit.name(), at = change.at, error:% = error; "ranges: the map was not written");
                 self.next_change = Some(now + RETRY_CHANGE);
                 if error == StoreError::Conflict {
                     self.next_change = Some(now + Duration::from_millis(15));
-                    self.fleet.nudge.notify_waiters();
+                    self.fleet.nudge_fleet.notify_waiters();
                 }
                 let certain = !matches!(error, StoreError::Unknown(_));
                 if certain && self.open_voters == Some(change.at) {
@@ -370,6 +359,22 @@
         }
     }
 
+    /// Tells the others what this process changed, so that they need not read
+    /// the store. A change too large for a datagram shows in the reports.
+    fn tell_change(&self, base: Offset, at: Offset, edit: MapEdit) {
+        let told = PeerDatagram::MapEdited { base, at, edit };
+        if encode_datagram(&told).is_ok() {
+            let addresses: Vec<SocketAddr> = {
+                let directory = self.fleet.directory();
+                directory.peers().map(|peer| peer.member.address).collect()
+            };
+            for address in addresses {
+                self.socket.send(address, &told);
+            }
+        }
+        self.fleet.report_now.notify_one();
+    }
+
     /// The change of voters has not taken effect and never will.
     fn settle_voters(&mut self) {
         self.open_voters = None;
@@ -616,31 +621,37 @@
             own: own.incarnation,
             service: &own.service,
             map: &view.map,
-            at,
             divided: &divided,
             candidates: &candidates,
         };
         let due = self
-            .due_transfer(&view.map, at, now)
-            .or_else(|| adopt(&duties))
-            .or_else(|| self.due_voters(&view.map, at, now))
+            .due_transfer(now)
+            .or_else(|| duties.adopt_candidates())
+            .or_else(|| self.due_voters(&view.map, now))
             .or_else(|| self.due_expulsion(&duties, now))
             .or_else(|| self.due_assignment(&duties, now));
-        if let Some((cause, map)) = due {
-            self.write(MapChange { cause, map, at }, now);
+        let Some(edit) = due else { return };
+        if let Some(map) = edit.apply(&view.map, at) {
+            let change = MapChange {
+                edit,
+                base: view.offset,
+                map,
+                at,
+            };
+            self.write(change, now);
         }
     }
 
     fn write(&mut self, change: MapChange, now: Duration) {
-        match change.cause {
-            ChangeCause::Voters => {
+        match &change.edit {
+            MapEdit::NameVoters { .. } => {
                 if let Some(lease) = &mut self.lease {
                     lease.freeze(now);
                 }
                 self.open_voters = Some(change.at);
             }
-            ChangeCause::Transfer => self.open_transfer = Some(change.at),
-            ChangeCause::Adopt | ChangeCause::Assign | ChangeCause::Expel(_) => {}
+            MapEdit::Transfer { .. } => self.open_transfer = Some(change.at),
+            MapEdit::Adopt { .. } | MapEdit::Assign { .. } | MapEdit::Expel { .. } => {}
         }
         self.next_change = None;
         let store = self.store.clone();
@@ -654,24 +665,16 @@
         });
     }
 
-    fn due_transfer(
-        &self,
-        map: &RangeMap,
-        at: Offset,
-        now: Duration,
-    ) -> Option<(ChangeCause, RangeMap)> {
+    fn due_transfer(&self, now: Duration) -> Option<MapEdit> {
         let planned = self.planned.as_ref()?;
-        let transfers = planned.transfers(now)?;
-        let edited = edit::transfer(map, &planned.service, self.own(), &transfers, at)?;
-        Some((ChangeCause::Transfer, edited))
+        Some(MapEdit::Transfer {
+            service: planned.service.clone(),
+            owner: self.own(),
+            transfers: planned.transfers(now)?,
+        })
     }
 
-    fn due_voters(
-        &self,
-        map: &RangeMap,
-        at: Offset,
-        now: Duration,
-    ) -> Option<(ChangeCause, RangeMap)> {
+    fn due_voters(&self, map: &RangeMap, now: Duration) -> Option<MapEdit> {
         let lease = self.lease.as_ref()?;
         if !lease.needs_voters(now) {
             return None;
@@ -687,34 +690,26 @@
         if voters.is_empty() || (same && !refused) {
             return None;
         }
-        let edited = edit::name_voters(map, self.own(), &voters, at)?;
-        Some((ChangeCause::Voters, edited))
+        Some(MapEdit::NameVoters {
+            holder: self.own(),
+            voters,
+        })
     }
 
-    fn due_expulsion(
-        &self,
-        duties: &DutyView<'_>,
-        now: Duration,
-    ) -> Option<(ChangeCause, RangeMap)> {
+    fn due_expulsion(&self, duties: &DutyView<'_>, now: Duration) -> Option<MapEdit> {
         self.suspicions.iter().find_map(|(holder, suspicion)| {
             let noticed = now.saturating_sub(suspicion.proven?);
-            let edited = duties.expel(*holder, suspicion.term, noticed)?;
-            Some((ChangeCause::Expel(*holder), edited))
+            duties.expel(*holder, suspicion.term, noticed)
         })
     }
 
-    fn due_assignment(
-        &mut self,
-        duties: &DutyView<'_>,
-        now: Duration,
-    ) -> Option<(ChangeCause, RangeMap)> {
+    fn due_assignment(&mut self, duties: &DutyView<'_>, now: Duration) -> Option<MapEdit> {
         if !duties.has_unowned() || !duties.mates().contains(&duties.own) {
             self.unowned_since = None;
             return None;
         }
         let since = *self.unowned_since.get_or_insert(now);
-        let edited = duties.assign_unowned(now.saturating_sub(since))?;
-        Some((ChangeCause::Assign, edited))
+        duties.assign_unowned(now.saturating_sub(since))
     }
 
     fn divided(&self) -> Vec<crate::base::ids::ServiceName> {
@@ -834,7 +829,6 @@
     }
 
     fn parts_for_load(&self, map: &RangeMap, now: Duration) -> Option<Vec<RangeTransfer>> {
-        let at = self.fleet.end().unwrap_or(0);
         let candidates = self.candidates(now);
         let divided = self.divided();
         let own = self.fleet.own();
@@ -842,7 +836,6 @@
             own: own.incarnation,
             service: &own.service,
             map,
-            at,
             divided: &divided,
             candidates: &candidates,
         };
@@ -862,8 +855,12 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         let owned = map.owned_by(own.incarnation);
-        let plan = plan_shed(pressure, &self.mates(map, now), &owned, &heat)?;
-        Some(vec![transfer_to(plan.first, plan.last, plan.target)])
+        let plan = plan_shed(pressure, &self.mates(map, now), &owned, &heat);
+        let parts: Vec<RangeTransfer> = plan
+            .iter()
+            .map(|part| transfer_to(part.first, part.last, part.target))
+            .collect();
+        (!parts.is_empty()).then_some(parts)
     }
 
     /// Returns the other owners of this process's service that take keys.
@@ -885,11 +882,6 @@
     }
 }
 
-fn adopt(duties: &DutyView<'_>) -> Option<(ChangeCause, RangeMap)> {
-    let edited = duties.adopt_candidates()?;
-    Some((ChangeCause::Adopt, edited))
-}
-
 fn takes_keys(upstream: Option<&LocalUpstream>) -> bool {
     upstream.is_some_and(|upstream| upstream.phase == UpstreamPhase::Ready)
 }
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -149,8 +149,7 @@
             log,
         );
 
-        follow_store(&store, &fleet, decoder);
-        tokio::spawn(announce_member(store.clone(), member.clone()));
+        follow_store(&store, &fleet, &member, decoder);
         tokio::spawn(catch_up(Arc::clone(&fleet), TimerService));
         let reports = ReportSender {
             socket: socket.clone(),
@@ -255,9 +254,12 @@
     Some(member.incarnation)
 }
 
+/// Follows both topics. The fleet's is read after this process has announced
+/// itself there: of two processes that start together, one then finds the other.
 fn follow_store<S: StateStore, D: ConfigurationDecoder>(
     store: &S,
     fleet: &Arc<FleetState>,
+    member: &MemberRecord,
     decoder: D,
 ) {
     let applied = Arc::clone(fleet);
@@ -268,12 +270,17 @@
         move |page| apply_operator(&applied, &decoder, page),
     ));
     let applied = Arc::clone(fleet);
-    tokio::spawn(follow_topic(
+    let announced = announce_member(store.clone(), member.clone());
+    let followed = follow_topic(
         store.clone(),
         StoreTopic::Fleet,
         Arc::clone(fleet),
         move |page| apply_fleet(&applied, page),
-    ));
+    );
+    tokio::spawn(async move {
+        announced.await;
+        followed.await;
+    });
 }
 
 /// Announces this process in the store, until the store has taken it.
