--- a/crates/winch-standin/src/lib.rs
+++ b/crates/winch-standin/src/lib.rs
@@ -7,10 +7,14 @@
 //!   bounded retention.
 //! * [`upstream_standin`]: an upstream with slots, service time, cold start,
 //!   fence checks and a ledger of every order that it ran.
+//! * [`store_standin`]: a store of keyed records with conditional appends.
+//! * [`keyed_standin`]: an upstream that holds key ranges under fenced grants.
 //! * [`echo`]: the answer of the upstream, by which a caller verifies that it
 //!   got its own answer, and the whole of it.
 
 mod delay;
 pub mod echo;
+pub mod keyed_standin;
 pub mod log_standin;
+pub mod store_standin;
 pub mod upstream_standin;
--- a/src/admission/deadline_queue.rs
+++ b/src/admission/deadline_queue.rs
@@ -12,6 +12,9 @@
 //! * More work of one rank than can be in time: a request that cannot meet its
 //!   target any more steps behind all that can, so that lateness does not
 //!   spread from one request to the next.
+//! * More work than the upstream can do for a while, as when one key takes it
+//!   all: what steps behind would never be its turn, so it is refused at once,
+//!   on arrival or as soon as it shows, and its caller can come back later.
 
 use std::time::Duration;
 
@@ -65,7 +68,7 @@
 
 impl<T> WaitingRequest<T> {
     fn turn(&self, now: Duration) -> QueueTurn {
-        let late = now + self.service > self.request.target;
+        let late = self.is_late(now);
         let due = if late {
             self.request.deadline
         } else {
@@ -77,6 +80,10 @@
     fn is_hopeless(&self, now: Duration) -> bool {
         now + self.service / 2 > self.request.deadline
     }
+
+    fn is_late(&self, start: Duration) -> bool {
+        start + self.service > self.request.target
+    }
 }
 
 /// The requests that wait for a slot of one upstream.
@@ -87,6 +94,7 @@
     next_ticket: QueueTicket,
     waiting: Vec<WaitingRequest<T>>,
     service: Duration,
+    overloaded: bool,
 }
 
 impl<T> DeadlineQueue<T> {
@@ -98,9 +106,15 @@
             next_ticket: 0,
             waiting: Vec::new(),
             service: INITIAL_SERVICE,
+            overloaded: false,
         }
     }
 
+    /// Tells whether more work is asked for than the upstream can do.
+    pub fn set_overloaded(&mut self, overloaded: bool) {
+        self.overloaded = overloaded;
+    }
+
     /// Sets how many requests may run at once.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots;
@@ -145,7 +159,8 @@
             payload,
         };
         let start = now + self.wait_ahead_of(&waiting, now);
-        if start + service > request.deadline {
+        let late = self.overloaded && waiting.is_late(start);
+        if late || start + service > request.deadline {
             let refusal = self.refusal(now, request.deadline);
             return Err((waiting.payload, refusal));
         }
@@ -169,15 +184,21 @@
         Some(self.waiting.swap_remove(next).payload)
     }
 
-    /// Removes the requests that cannot end before their deadline any more.
+    /// Removes the requests that cannot end before their deadline any more,
+    /// and under overload those that cannot meet their target.
     pub fn refuse_hopeless(&mut self, now: Duration) -> Vec<(T, QueueRefusal)> {
-        let refusal = QueueRefusal {
-            kind: ErrorKind::DeadlineBeforeStart,
-            retry_after: None,
+        let overloaded = self.overloaded;
+        let is_lost = |entry: &WaitingRequest<T>| {
+            entry.is_hopeless(now) || (overloaded && entry.is_late(now))
         };
         let mut refused = Vec::new();
-        while let Some(index) = self.waiting.iter().position(|entry| entry.is_hopeless(now)) {
-            refused.push((self.waiting.swap_remove(index).payload, refusal));
+        while let Some(index) = self.waiting.iter().position(is_lost) {
+            let entry = self.waiting.swap_remove(index);
+            let refusal = QueueRefusal {
+                kind: ErrorKind::DeadlineBeforeStart,
+                ..self.refusal(now, entry.request.deadline)
+            };
+            refused.push((entry.payload, refusal));
         }
         refused
     }
--- a/src/admission/slot_queue.rs
+++ b/src/admission/slot_queue.rs
@@ -28,6 +28,10 @@
 /// samples a second they follow the last second or so.
 const METER_WEIGHT: f32 = 0.1;
 
+/// Work asked for, over what the slots can do, from which an upstream counts as
+/// overloaded. A little above the whole, since both are smoothed.
+const OVERLOAD: f32 = 1.05;
+
 /// A new verdict moves the failing part by this part.
 const FAILING_WEIGHT: f32 = 1.0 / 24.0;
 
@@ -159,6 +163,8 @@
             state.arrivals = 0;
             state.utilization += (utilization - state.utilization) * METER_WEIGHT;
             state.rate += (rate - state.rate) * METER_WEIGHT;
+            let offered = state.rate * state.queue.service().as_secs_f32() / slots;
+            state.queue.set_overloaded(offered > OVERLOAD);
             state.queue.refuse_hopeless(self.start.elapsed())
         };
         reply_refusals(refused);
--- a/src/ranges/heat.rs
+++ b/src/ranges/heat.rs
@@ -4,6 +4,9 @@
 use super::map::KeyRange;
 use crate::base::collections::FastMap;
 
+/// Least part of all counts that a run of keys must hold to be given away.
+const LEAST_WINDOW: f32 = 0.05;
+
 /// Counts below this are forgotten at the next decay.
 const FORGOTTEN: f32 = 0.2;
 
@@ -48,10 +51,18 @@
         let windows = ranges
             .iter()
             .flat_map(|range| range_windows(&sorted, range, total * wanted));
+        let windows: Vec<HeatWindow> = windows.collect();
         let best = windows
+            .iter()
             .filter(|window| window.heat >= total * wanted * GOOD_PART)
             .min_by_key(|window| window.last - window.first);
-        let Some(best) = best else {
+        // A key that alone is too hot to be given away stays, and what else
+        // there is moves out of its way.
+        let most = windows
+            .iter()
+            .filter(|window| window.heat >= total * LEAST_WINDOW)
+            .max_by(|left, right| left.heat.total_cmp(&right.heat));
+        let Some(best) = best.or(most) else {
             return Vec::new();
         };
         let inside = sorted
--- a/tests/testsuite/deadline_queue.rs
+++ b/tests/testsuite/deadline_queue.rs
@@ -130,3 +130,25 @@
 
     assert_eq!(next(&mut queue, ms(100)), None);
 }
+
+/// Replays one key that takes more work than its upstream can do: what would
+/// never be its turn is told so at once and is not held.
+#[test]
+fn under_overload_what_cannot_meet_its_target_is_refused_at_once() {
+    let mut queue = busy_queue();
+    queue.set_overloaded(true);
+    for _count in 0..3 {
+        queue
+            .offer(ms(0), request(0, 450, 2_000), "in time")
+            .expect("room");
+    }
+
+    let refused = queue.offer(ms(0), request(0, 300, 2_000), "late");
+    assert!(refused.is_ok(), "its target is nearer, so it goes first");
+    let (_name, refusal) = queue
+        .offer(ms(0), request(0, 460, 2_000), "late")
+        .expect_err("late");
+
+    assert_eq!(refusal.kind, ErrorKind::Overloaded);
+    assert_eq!(queue.refuse_hopeless(ms(360)).len(), 4);
+}
--- /dev/null
+++ b/tests/testsuite/platform.rs
@@ -0,0 +1,304 @@
+//! Translation between the platform's names and the product's.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use buckthornwinch::base::error::ErrorKind;
+use buckthornwinch::base::error::RequestOutcome;
+use buckthornwinch::delivery::message::OrderFailure;
+use buckthornwinch::sidecar::dispatch::EntryFailure;
+use buckthornwinch::sidecar::follow::ConfigurationDecoder;
+use buckthornwinch::sidecar::upstream::LocalRegistry;
+use buckthornwinch::store::StateStore;
+use buckthornwinch::store::StoreError;
+use buckthornwinch::store::StoreTopic;
+use bytes::Bytes;
+use proptest::prelude::*;
+use winch_platform::announcements::AnnouncementHandler;
+use winch_platform::configuration::RecordDecoder;
+use winch_platform::requests::failure_status;
+use winch_platform::requests::passed_headers;
+use winch_platform::settings::parse_settings;
+use winch_platform::store::StoreClient;
+use winch_platform::store::decode_read;
+use winch_platform::store::encode_record;
+use winch_platform::wire::format_time;
+use winch_platform::wire::parse_time;
+use winch_standin::store_standin::StoreFaults;
+use winch_standin::store_standin::StoreStandin;
+
+const SETTINGS: &str = r#"{
+    "node": "sidecar-a-1", "ip": "10.1.0.41", "zone": "a", "service": "orders", "heartbeat": "870ms",
+    "listen": {"inbound": "10.1.0.41:8624", "outbound": "10.1.0.41:8629", "readiness": "10.1.0.41:8625", "control": "10.1.0.41:8620"},
+    "portRange": [7600, 7615], "app": "10.1.0.41:8628", "unknown": {"ignored": true},
+    "bounds": {"drain": "2000ms", "grace": "6s", "holdMax": "10000ms", "retryBudgetRatio": 0.2, "budgetWindow": "10s", "budgetSlack": 62},
+    "platform": {"address": "10.200.1.7:8627"}
+}"#;
+
+const CONFIGURATION: &str = r#"{
+    "version": 7,
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000, "headerTimeout": "3000ms", "idleTimeout": "15s"},
+    "listeners": [{"host": "shop.example", "rules": [
+        {"name": "r-1", "routeType": "non_idempotent", "targetLatency": "500ms", "priority": 1,
+         "match": {"pathPrefix": "/orders/"}, "action": {"service": "orders", "timeout": "1500ms", "maxAttempts": 2}},
+        {"name": "r-2", "routeType": "idempotent", "targetLatency": "400ms", "priority": 0,
+         "match": {"pathPrefix": "/prices/"},
+         "action": {"weightedClusters": [{"service": "prices", "weight": 90}, {"service": "orders", "weight": 10}], "timeout": "1.2s", "maxAttempts": 2}}
+    ]}],
+    "clusters": [{"name": "prices", "healthCheckPath": "/health", "maxConnections": 130, "sharding": true, "warmup": "2s"},
+                 {"name": "orders", "healthCheckPath": "/health", "maxConnections": 130}]
+}"#;
+
+#[test]
+fn settings_are_read_and_unknown_fields_ignored() {
+    let settings = parse_settings(SETTINGS).expect("valid settings");
+
+    assert_eq!(
+        settings.sidecar.announce_interval,
+        Duration::from_millis(870)
+    );
+    assert_eq!(settings.sidecar.peers.port(), 7600);
+    assert_eq!(settings.addresses.callers.port(), 8629);
+    assert_eq!(settings.addresses.announcements.port(), 8620);
+}
+
+#[test]
+fn a_faulty_setting_is_named() {
+    let faults = [
+        ("\"870ms\"", "870", "heartbeat"),
+        ("\"6s\"", "\"6 hours\"", "bounds.grace"),
+        ("10.200.1.7:8627", "store.example", "platform.address"),
+        ("[7600, 7615]", "[7615, 7600]", "portRange"),
+    ];
+    for (from, to, field) in faults {
+        let error = parse_settings(&SETTINGS.replace(from, to)).expect_err("a fault");
+
+        assert!(error.to_string().contains(field), "{error}");
+    }
+}
+
+#[test]
+fn a_configuration_is_decoded_into_the_products_terms() {
+    let configuration = RecordDecoder
+        .decode(CONFIGURATION.as_bytes())
+        .expect("valid");
+
+    insta::assert_debug_snapshot!(configuration);
+}
+
+#[test]
+fn a_configuration_cut_short_or_of_other_types_is_refused_with_its_field() {
+    let cut = RecordDecoder.decode(&CONFIGURATION.as_bytes()[..200]);
+    assert!(cut.is_err());
+    let typed = CONFIGURATION.replace("\"maxAttempts\": 2}}\n", "\"maxAttempts\": -1}}\n");
+    let error = RecordDecoder.decode(typed.as_bytes()).expect_err("a fault");
+    assert!(error.to_string().contains("max"), "{error}");
+}
+
+#[test]
+fn only_what_has_not_run_is_answered_with_a_promise() {
+    for kind in ErrorKind::ALL {
+        let status = failure_status(&EntryFailure::Failed(OrderFailure::new(kind, "")));
+
+        let promised = matches!(status, 429 | 503);
+        assert_eq!(
+            promised,
+            kind.answer().outcome == RequestOutcome::NotRun,
+            "{kind:?}"
+        );
+    }
+}
+
+#[test]
+fn a_process_without_configuration_never_answers_404() {
+    assert_eq!(failure_status(&EntryFailure::NotConfigured), 503);
+    assert_eq!(failure_status(&EntryFailure::NoRoute), 404);
+}
+
+#[test]
+fn headers_of_one_connection_are_not_passed_on() {
+    let mut headers = hyper::HeaderMap::new();
+    for (name, value) in [
+        ("connection", "close, x-hop"),
+        ("x-hop", "1"),
+        ("keep-alive", "timeout=5"),
+        ("cookie", "a=b"),
+        ("caller-service", "forged"),
+    ] {
+        headers.insert(name, value.parse().expect("a value"));
+    }
+
+    let passed = passed_headers(&headers, &["caller-service"]);
+
+    let names: Vec<&str> = passed.iter().map(|(name, _value)| &**name).collect();
+    assert_eq!(names, ["cookie"]);
+}
+
+fn handler() -> (AnnouncementHandler, LocalRegistry) {
+    let registry = LocalRegistry::new(Duration::from_secs(1));
+    let upstream = "10.1.0.41:8628".parse().expect("an address");
+    (
+        AnnouncementHandler::new(registry.clone(), upstream),
+        registry,
+    )
+}
+
+#[tokio::test]
+async fn a_heartbeat_of_another_writer_names_no_upstream() {
+    let (handler, registry) = handler();
+    let bodies = [
+        "{}",
+        "not json",
+        r#"{"service":"orders","address":"10.9.9.9:1","slots":18,"state":"ready","seq":1}"#,
+        r#"{"service":"orders","address":"10.1.0.41:8628","slots":18,"state":"asleep","seq":1}"#,
+        r#"{"service":"orders","address":"10.1.0.41:8628","slots":"many","state":"ready","seq":1}"#,
+        r#"{"service":"orders","address":"10.1.0.41:8628","slots":0,"state":"ready","seq":1}"#,
+    ];
+
+    for body in bodies {
+        assert!(
+            handler.take_heartbeat("i-1", body.as_bytes()).is_err(),
+            "{body}"
+        );
+    }
+
+    assert_eq!(registry.current(), None);
+}
+
+#[tokio::test]
+async fn a_heartbeat_is_taken() {
+    let (handler, registry) = handler();
+    let body = r#"{"service":"orders","address":"10.1.0.41:8628","zone":"a","version":"v1","slots":18,"state":"ready","seq":4,"coldRemaining":"0ms","born":1791362202000}"#;
+
+    handler
+        .take_heartbeat("i-1", body.as_bytes())
+        .expect("taken");
+
+    let known = registry.current().expect("an upstream");
+    assert_eq!((&*known.notice.instance, known.notice.slots), ("i-1", 18));
+}
+
+/// The client against the stand-in, compared with a plain map of keys.
+#[tokio::test]
+async fn the_store_client_agrees_with_a_map_of_the_newest_values() {
+    let store = StoreStandin::start().await.expect("a store");
+    let client = StoreClient::new(store.address());
+    let mut naive = BTreeMap::new();
+
+    let mut end = 0;
+    for step in 0..40_u8 {
+        let key = format!("key-{}", step % 7);
+        let value = if step % 5 == 0 {
+            vec![]
+        } else {
+            vec![step, 0, 255]
+        };
+        let at = (step % 2 == 0).then_some(end);
+        let offset = client
+            .append(StoreTopic::Fleet, &key, value.clone().into(), at)
+            .await
+            .expect("appended");
+        assert_eq!(offset, end);
+        end += 1;
+        if value.is_empty() {
+            naive.remove(&key);
+        } else {
+            naive.insert(key, value);
+        }
+    }
+
+    let newest = client.newest(StoreTopic::Fleet).await.expect("read");
+    let read: BTreeMap<String, Vec<u8>> = newest
+        .records
+        .iter()
+        .map(|record| (record.key.to_string(), record.value.to_vec()))
+        .collect();
+    assert_eq!(read, naive);
+    assert_eq!(newest.end, 40);
+    let page = client
+        .read(StoreTopic::Fleet, 38, Duration::ZERO)
+        .await
+        .expect("read");
+    assert_eq!((page.records.len(), page.next), (2, 40));
+}
+
+#[tokio::test]
+async fn the_store_clients_errors_tell_what_may_have_happened() {
+    let store = StoreStandin::start().await.expect("a store");
+    let client = StoreClient::new(store.address());
+    let append = |at| client.append(StoreTopic::Fleet, "key", Bytes::from_static(b"v"), at);
+    append(Some(0)).await.expect("appended");
+
+    assert_eq!(append(Some(0)).await, Err(StoreError::Conflict));
+    store.drop_history("keyed.winch");
+    let expired = client.read(StoreTopic::Fleet, 0, Duration::ZERO).await;
+    assert_eq!(expired, Err(StoreError::Expired));
+    store.set_faults(StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    });
+    assert!(matches!(append(None).await, Err(StoreError::Refused(_))));
+    store.set_faults(StoreFaults {
+        lose_answer: 1.0,
+        ..StoreFaults::default()
+    });
+    assert!(matches!(append(None).await, Err(StoreError::Unknown(_))));
+    store.set_faults(StoreFaults::default());
+    assert_eq!(
+        append(Some(1)).await,
+        Err(StoreError::Conflict),
+        "it took effect"
+    );
+}
+
+#[tokio::test]
+async fn a_long_read_returns_as_soon_as_a_record_is_there() {
+    let store = StoreStandin::start().await.expect("a store");
+    let client = StoreClient::new(store.address());
+    let reader = client.clone();
+    let reading = tokio::spawn(async move {
+        reader
+            .read(StoreTopic::Operator, 0, Duration::from_secs(20))
+            .await
+    });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    store.put("keyed.op", "config", b"new");
+
+    let page = reading.await.expect("no panic").expect("read");
+    assert_eq!(&*page.records[0].value, b"new");
+}
+
+proptest! {
+    #[test]
+    fn a_read_of_any_bytes_is_decoded_or_refused_without_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        drop(decode_read(bytes.into(), 5));
+    }
+
+    #[test]
+    fn records_survive_encoding(records in prop::collection::vec(("[a-z/]{1,20}", prop::collection::vec(any::<u8>(), 0..50)), 0..10)) {
+        let mut body = vec![0; 16];
+        for (key, value) in &records {
+            body.extend(encode_record(key, value).expect("short keys"));
+        }
+        let page = decode_read(body.into(), 3).expect("whole");
+        let read: Vec<_> = page.records.iter().map(|record| (record.key.to_string(), record.value.to_vec())).collect();
+        prop_assert_eq!(read, records);
+    }
+
+    #[test]
+    fn any_text_is_a_time_or_refused_without_panic(text in ".{0,12}") {
+        drop(parse_time(&text));
+    }
+
+    #[test]
+    fn times_survive_encoding(milliseconds in 0_u64..10_000_000) {
+        let time = Duration::from_millis(milliseconds);
+        prop_assert_eq!(parse_time(&format_time(time)).expect("a time"), time);
+    }
+
+    #[test]
+    fn any_bytes_are_a_configuration_or_refused_without_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        drop(RecordDecoder.decode(&bytes));
+    }
+}
