--- a/src/admission/deadline_queue.rs
+++ b/src/admission/deadline_queue.rs
@@ -8,13 +8,13 @@
 //!   strictly one after the other, and a request that would end after its
 //!   deadline is refused on arrival, with the time after which there is room.
 //! * Calls that running work makes, whose callers hold a slot elsewhere: they
-//!   have the nearest target and so go first within their rank.
+//!   have the nearest target and so go first within their rank, and less urgent
+//!   kinds leave as many slots free as more urgent ones keep busy on average.
+//!   Otherwise a call waits for the end of some long request, while its caller
+//!   holds a slot of a scarcer upstream.
 //! * More work of one rank than can be in time: a request that cannot meet its
-//!   target any more steps behind all that can, so that lateness does not
-//!   spread from one request to the next.
-//! * More work than the upstream can do for a while, as when one key takes it
-//!   all: what steps behind would never be its turn, so it is refused at once,
-//!   on arrival or as soon as it shows, and its caller can come back later.
+//!   target any more steps behind those of its rank that can, so that lateness
+//!   does not spread from one request to the next.
 
 use std::time::Duration;
 
@@ -26,23 +26,57 @@
 /// A new sample moves the smoothed service time by one part in so many.
 const SERVICE_WEIGHT: u32 = 16;
 
+/// A new sample moves a kind's service time by one part in so many.
+const KIND_WEIGHT: u32 = 8;
+
 /// The shortest and the longest time to retry that a refusal names.
 const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(3));
 
+/// Most slots that a kind leaves free for more urgent ones: one part in so many.
+const RESERVED_PARTS: u32 = 3;
+
+/// A kind is more urgent than another of its rank if its requests are due in at
+/// most one part in so many of the other's time.
+const URGENT_PARTS: u32 = 2;
+
+/// Index of a kind of requests.
+pub type KindIndex = usize;
+
+/// Requests that hold a slot about equally long.
+#[derive(Debug, Clone)]
+struct RequestKind {
+    name: Box<str>,
+    rank: u8,
+    /// Time from a request's start to its target.
+    span: Duration,
+    /// Smoothed time for which a request holds a slot; none before the first.
+    service: Option<Duration>,
+    running: u32,
+    /// Slot time that was asked for since the last sample.
+    asked: Duration,
+    /// Smoothed slots that the kind would keep busy.
+    offered: f32,
+}
+
+impl RequestKind {
+    fn precedes(&self, other: &Self) -> bool {
+        self.rank < other.rank
+            || (self.rank == other.rank && self.span * URGENT_PARTS <= other.span)
+    }
+}
+
 /// Numbers the requests of a queue.
 pub type QueueTicket = u64;
 
 /// A request that asks for a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QueuedRequest {
-    /// Its rank; 0 is the most urgent.
-    pub rank: u8,
+    /// Its kind.
+    pub kind: KindIndex,
     /// When its answer is due to be worth most.
     pub target: Duration,
     /// When its answer is worth nothing any more.
     pub deadline: Duration,
-    /// How long requests of its kind hold a slot; none if not known.
-    pub service: Option<Duration>,
 }
 
 /// Why a request gets no slot. It has not run.
@@ -59,6 +93,7 @@
 struct WaitingRequest<T> {
     ticket: QueueTicket,
     request: QueuedRequest,
+    rank: u8,
     service: Duration,
     payload: T,
 }
@@ -74,7 +109,7 @@
         } else {
             self.request.target
         };
-        (late, self.request.rank, due, self.ticket)
+        (late, self.rank, due, self.ticket)
     }
 
     fn is_hopeless(&self, now: Duration) -> bool {
@@ -94,7 +129,7 @@
     next_ticket: QueueTicket,
     waiting: Vec<WaitingRequest<T>>,
     service: Duration,
-    overloaded: bool,
+    kinds: Vec<RequestKind>,
 }
 
 impl<T> DeadlineQueue<T> {
@@ -106,13 +141,55 @@
             next_ticket: 0,
             waiting: Vec::new(),
             service: INITIAL_SERVICE,
-            overloaded: false,
+            kinds: Vec::new(),
         }
     }
 
-    /// Tells whether more work is asked for than the upstream can do.
-    pub fn set_overloaded(&mut self, overloaded: bool) {
-        self.overloaded = overloaded;
+    /// Returns the kind of a name, whose requests have a rank, 0 being the most
+    /// urgent, and are due within `span`.
+    pub fn kind(&mut self, name: &str, rank: u8, span: Duration) -> KindIndex {
+        let known = self.kinds.iter().position(|kind| &*kind.name == name);
+        let index = known.unwrap_or(self.kinds.len());
+        if known.is_none() {
+            self.kinds.push(RequestKind {
+                name: name.into(),
+                rank,
+                span,
+                service: None,
+                running: 0,
+                asked: Duration::ZERO,
+                offered: 0.0,
+            });
+        }
+        let kind = &mut self.kinds[index];
+        (kind.rank, kind.span) = (rank, span);
+        index
+    }
+
+    /// Samples the work that was asked for in the last `interval`; a sample
+    /// moves the smoothed values by the part `weight`.
+    pub fn sample(&mut self, interval: Duration, weight: f32) {
+        for kind in &mut self.kinds {
+            let sample = kind.asked.as_secs_f32() / interval.as_secs_f32();
+            kind.asked = Duration::ZERO;
+            kind.offered += (sample - kind.offered) * weight;
+        }
+    }
+
+    /// Returns the slots that all kinds together would keep busy.
+    pub fn offered(&self) -> f32 {
+        self.kinds.iter().map(|kind| kind.offered).sum()
+    }
+
+    /// Tells whether a request of a kind may take one of the free slots, and
+    /// not one that is kept for more urgent kinds.
+    fn may_start(&self, kind: KindIndex) -> bool {
+        let own = &self.kinds[kind];
+        let urgent = || self.kinds.iter().filter(|other| other.precedes(own));
+        let offered: f32 = urgent().map(|other| other.offered).sum();
+        let running: u32 = urgent().map(|other| other.running).sum();
+        let reserve = (offered.ceil() as u32).min(self.slots / RESERVED_PARTS);
+        self.running + reserve.saturating_sub(running) < self.slots
     }
 
     /// Sets how many requests may run at once.
@@ -151,16 +228,19 @@
         request: QueuedRequest,
         payload: T,
     ) -> Result<QueueTicket, (T, QueueRefusal)> {
-        let service = request.service.unwrap_or(self.service);
+        let fallback = self.service;
+        let kind = &mut self.kinds[request.kind];
+        let service = kind.service.unwrap_or(fallback);
+        kind.asked += service;
         let waiting = WaitingRequest {
             ticket: self.next_ticket,
             request,
+            rank: kind.rank,
             service,
             payload,
         };
         let start = now + self.wait_ahead_of(&waiting, now);
-        let late = self.overloaded && waiting.is_late(start);
-        if late || start + service > request.deadline {
+        if start + service > request.deadline {
             let refusal = self.refusal(now, request.deadline);
             return Err((waiting.payload, refusal));
         }
@@ -174,25 +254,25 @@
         self.waiting.retain(|waiting| waiting.ticket != ticket);
     }
 
-    /// Starts the next request if a slot is free.
-    pub fn start_next(&mut self, now: Duration) -> Option<T> {
+    /// Starts the next request if a slot is free for it. Returns its kind too.
+    pub fn start_next(&mut self, now: Duration) -> Option<(KindIndex, T)> {
         if self.running >= self.slots {
             return None;
         }
-        let next = (0..self.waiting.len()).min_by_key(|index| self.waiting[*index].turn(now))?;
+        let next = (0..self.waiting.len())
+            .filter(|index| self.may_start(self.waiting[*index].request.kind))
+            .min_by_key(|index| self.waiting[*index].turn(now))?;
+        let started = self.waiting.swap_remove(next);
+        let kind = started.request.kind;
         self.running += 1;
-        Some(self.waiting.swap_remove(next).payload)
+        self.kinds[kind].running += 1;
+        Some((kind, started.payload))
     }
 
-    /// Removes the requests that cannot end before their deadline any more,
-    /// and under overload those that cannot meet their target.
+    /// Removes the requests that cannot end before their deadline any more.
     pub fn refuse_hopeless(&mut self, now: Duration) -> Vec<(T, QueueRefusal)> {
-        let overloaded = self.overloaded;
-        let is_lost = |entry: &WaitingRequest<T>| {
-            entry.is_hopeless(now) || (overloaded && entry.is_late(now))
-        };
         let mut refused = Vec::new();
-        while let Some(index) = self.waiting.iter().position(is_lost) {
+        while let Some(index) = self.waiting.iter().position(|entry| entry.is_hopeless(now)) {
             let entry = self.waiting.swap_remove(index);
             let refusal = QueueRefusal {
                 kind: ErrorKind::DeadlineBeforeStart,
@@ -212,12 +292,16 @@
             .collect()
     }
 
-    /// Takes the end of a request that held its slot for `held`; none if it
-    /// did not run.
-    pub fn finish(&mut self, held: Option<Duration>) {
+    /// Takes the end of a request of a kind that held its slot for `held`; none
+    /// if it did not run.
+    pub fn finish(&mut self, kind: KindIndex, held: Option<Duration>) {
         self.running = self.running.saturating_sub(1);
+        let kind = &mut self.kinds[kind];
+        kind.running = kind.running.saturating_sub(1);
         if let Some(held) = held {
             self.service = smooth(self.service, held, SERVICE_WEIGHT);
+            let known = kind.service.unwrap_or(held);
+            kind.service = Some(smooth(known, held, KIND_WEIGHT));
         }
     }
 
--- a/src/admission/slot_queue.rs
+++ b/src/admission/slot_queue.rs
@@ -14,24 +14,16 @@
 use tokio::time::Instant;
 
 use super::deadline_queue::DeadlineQueue;
+use super::deadline_queue::KindIndex;
 use super::deadline_queue::QueueRefusal;
 use super::deadline_queue::QueueTicket;
 use super::deadline_queue::QueuedRequest;
-use super::deadline_queue::smooth;
-use crate::base::collections::FastMap;
 use crate::base::error::ErrorKind;
 
-/// A new sample moves a kind's service time by one part in so many.
-const KIND_WEIGHT: u32 = 8;
-
 /// A new sample moves the utilization and the rate by this part: at twenty
 /// samples a second they follow the last second or so.
 const METER_WEIGHT: f32 = 0.1;
 
-/// Work asked for, over what the slots can do, from which an upstream counts as
-/// overloaded. A little above the whole, since both are smoothed.
-const OVERLOAD: f32 = 1.05;
-
 /// A new verdict moves the failing part by this part.
 const FAILING_WEIGHT: f32 = 1.0 / 24.0;
 
@@ -40,8 +32,10 @@
 pub struct SlotDemand<'a> {
     /// Names requests that hold a slot about equally long.
     pub kind: &'a str,
-    /// Its rank; 0 is the most urgent.
+    /// Their rank; 0 is the most urgent.
     pub rank: u8,
+    /// Time within which they are due.
+    pub span: Duration,
     /// When its answer is due to be worth most.
     pub target: Instant,
     /// When its answer is worth nothing any more.
@@ -86,7 +80,6 @@
 #[derive(Debug, Default)]
 struct QueueState {
     queue: DeadlineQueue<SlotReply>,
-    kinds: FastMap<Box<str>, Duration>,
     arrivals: u32,
     utilization: f32,
     rate: f32,
@@ -126,10 +119,9 @@
             let mut state = self.lock();
             state.arrivals += 1;
             let request = QueuedRequest {
-                rank: demand.rank,
+                kind: state.queue.kind(demand.kind, demand.rank, demand.span),
                 target: self.since_start(demand.target),
                 deadline: self.since_start(demand.deadline),
-                service: state.kinds.get(demand.kind).copied(),
             };
             state.queue.offer(self.start.elapsed(), request, reply)
         };
@@ -144,10 +136,7 @@
             retry_after: None,
         }));
         guard.ticket = None;
-        result.map(|mut lease| {
-            lease.kind = demand.kind.into();
-            lease
-        })
+        result
     }
 
     /// Refuses what can no longer be in time and samples the load; called
@@ -158,13 +147,11 @@
             let busy = state.queue.running() + state.queue.waiting() as u32;
             let slots = state.queue.slots().max(1) as f32;
             let rate = state.arrivals as f32 / interval.as_secs_f32();
-            let asked = rate * state.queue.service().as_secs_f32();
-            let utilization = (busy as f32).max(asked) / slots;
+            state.queue.sample(interval, METER_WEIGHT);
+            let utilization = (busy as f32).max(state.queue.offered()) / slots;
             state.arrivals = 0;
             state.utilization += (utilization - state.utilization) * METER_WEIGHT;
             state.rate += (rate - state.rate) * METER_WEIGHT;
-            let offered = state.rate * state.queue.service().as_secs_f32() / slots;
-            state.queue.set_overloaded(offered > OVERLOAD);
             state.queue.refuse_hopeless(self.start.elapsed())
         };
         reply_refusals(refused);
@@ -192,29 +179,23 @@
 
     fn start_waiting(&self) {
         loop {
-            let Some(reply) = self.lock().queue.start_next(self.start.elapsed()) else {
+            let Some((kind, reply)) = self.lock().queue.start_next(self.start.elapsed()) else {
                 return;
             };
             // A waiter that is gone drops the lease, which gives the slot back.
             drop(reply.send(Ok(SlotLease {
                 queue: self.clone(),
-                kind: Box::default(),
+                kind,
                 since: Instant::now(),
                 outcome: SlotOutcome::Abandoned,
             })));
         }
     }
 
-    fn give_back(&self, kind: &str, held: Duration, outcome: SlotOutcome) {
+    fn give_back(&self, kind: KindIndex, held: Duration, outcome: SlotOutcome) {
         let mut state = self.lock();
         let ran = matches!(outcome, SlotOutcome::Answered).then_some(held);
-        state.queue.finish(ran);
-        if ran.is_some() {
-            match state.kinds.get_mut(kind) {
-                Some(known) => *known = smooth(*known, held, KIND_WEIGHT),
-                None => drop(state.kinds.insert(kind.into(), held)),
-            }
-        }
+        state.queue.finish(kind, ran);
         let sample = match outcome {
             SlotOutcome::Answered => Some(0.0),
             SlotOutcome::Failed | SlotOutcome::NotRun => Some(1.0),
@@ -264,7 +245,7 @@
 #[derive(Debug)]
 pub struct SlotLease {
     queue: SlotQueue,
-    kind: Box<str>,
+    kind: KindIndex,
     since: Instant,
     outcome: SlotOutcome,
 }
@@ -279,7 +260,7 @@
 impl Drop for SlotLease {
     fn drop(&mut self) {
         let held = self.since.elapsed();
-        self.queue.give_back(&self.kind, held, self.outcome);
+        self.queue.give_back(self.kind, held, self.outcome);
         self.queue.start_waiting();
     }
 }
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -105,6 +105,16 @@
         /// The change.
         edit: MapEdit,
     },
+    /// An owner asks one process to write the changes of all, so that they do
+    /// not get in each other's way.
+    AskWrite {
+        /// Who is to write.
+        writer: Incarnation,
+        /// The owner.
+        owner: Incarnation,
+        /// The change; harmless if it is written twice or late.
+        edit: MapEdit,
+    },
     /// A holder asks a voter to renew its lease.
     Renew {
         /// The holder.
--- a/src/ranges/edit.rs
+++ b/src/ranges/edit.rs
@@ -55,6 +55,8 @@
         /// Who divides them.
         targets: Vec<Incarnation>,
     },
+    /// Several changes in one record; those that do not fit are left out.
+    Batch(Vec<MapEdit>),
     /// An owner gives keys away.
     Transfer {
         /// The service.
@@ -82,6 +84,7 @@
                 targets,
             } => expel(map, *holder, *term, targets, at),
             Self::Assign { service, targets } => assign_unowned(map, service, targets, at),
+            Self::Batch(edits) => apply_fitting(map, edits, at),
             Self::Transfer {
                 service,
                 owner,
@@ -97,11 +100,19 @@
             Self::NameVoters { .. } => "name-voters",
             Self::Expel { .. } => "expel",
             Self::Assign { .. } => "assign",
+            Self::Batch(_) => "batch",
             Self::Transfer { .. } => "transfer",
         }
     }
 }
 
+fn apply_fitting(map: &RangeMap, edits: &[MapEdit], at: Offset) -> Option<RangeMap> {
+    edits.iter().fold(None, |edited, edit| {
+        let next = edit.apply(edited.as_ref().unwrap_or(map), at);
+        next.or(edited)
+    })
+}
+
 /// A process that asks to become a holder.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -129,6 +140,10 @@
     pub last: RangeKey,
     /// The new owner; none leaves the keys without one.
     pub target: Option<Incarnation>,
+    /// Offset of the record that gave the keys to the owner who gives them
+    /// away. An owner that gets keys back gets them under another one, so that
+    /// an old transfer that was held up changes nothing.
+    pub base: Offset,
     /// What the former owner's upstream handed over.
     pub handover: Option<Box<str>>,
 }
@@ -312,7 +327,10 @@
             .ranges
             .iter()
             .filter(|range| range.clip(part.first, part.last).is_some())
-            .all(|range| range.owner == owner);
+            .all(|range| {
+                let given = owner.is_none() || range.fence_base == part.base;
+                range.owner == owner && given
+            });
         if !is_theirs || !part.target.is_none_or(is_holder) {
             return None;
         }
@@ -344,6 +362,7 @@
                 first: first as RangeKey,
                 last: (first + keys - 1) as RangeKey,
                 target: Some(targets[share as usize]),
+                base: range.fence_base,
                 handover: None,
             });
             first += keys;
--- a/src/ranges/holdings.rs
+++ b/src/ranges/holdings.rs
@@ -17,6 +17,9 @@
 /// A grant that ends sooner than this is renewed.
 const RENEW_BEFORE: Duration = Duration::from_secs(1);
 
+/// Wait before a grant that was refused is tried again.
+const RETRY_GRANT: Duration = Duration::from_millis(250);
+
 /// Grants shorter than this are not worth a call.
 const LEAST_HOLD: Duration = Duration::from_millis(150);
 
@@ -44,6 +47,19 @@
     pub handover: Option<Box<str>>,
 }
 
+/// A run of keys that the upstream may hold under one fence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeldRun {
+    /// The first key.
+    pub first: RangeKey,
+    /// The last key, inclusive.
+    pub last: RangeKey,
+    /// Offset of the record that gave the keys to this process.
+    pub base: Offset,
+    /// The fence.
+    pub fence: FenceNumber,
+}
+
 /// What became of a grant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GrantVerdict {
@@ -51,6 +67,8 @@
     Granted,
     /// The upstream did not take the grant.
     Refused,
+    /// Nothing listens at the upstream's address.
+    Gone,
     /// No answer: the grant may take effect at any time.
     Unknown,
 }
@@ -80,6 +98,8 @@
     unknown_until: Duration,
     /// When the grant was sent that waits for its answer.
     sent: Option<Duration>,
+    /// When a grant that was refused is tried again.
+    next_try: Duration,
     releasing: bool,
 }
 
@@ -168,7 +188,8 @@
                 .usable_until
                 .is_none_or(|until| until < now + RENEW_BEFORE);
             let gains = range.usable_until.is_none_or(|until| until < now + hold);
-            if range.releasing || range.sent.is_some() || !ends_soon || !gains {
+            let waits = range.releasing || range.sent.is_some() || now < range.next_try;
+            if waits || !ends_soon || !gains {
                 continue;
             }
             range.sent = Some(now);
@@ -198,7 +219,9 @@
                 GrantVerdict::Granted => {
                     range.usable_until = range.usable_until.max(Some(sent + grant.hold));
                 }
-                GrantVerdict::Refused => {}
+                GrantVerdict::Refused | GrantVerdict::Gone => {
+                    range.next_try = sent + RETRY_GRANT;
+                }
                 GrantVerdict::Unknown => {
                     range.unknown_until = range.possible_until + ARRIVAL_MARGIN;
                 }
@@ -244,16 +267,17 @@
         }
     }
 
-    /// Returns the fences under which the upstream may hold the keys from
-    /// `first` to `last`, each with the keys that it covers.
-    pub fn release_calls(
-        &self,
-        first: RangeKey,
-        last: RangeKey,
-    ) -> Vec<(RangeKey, RangeKey, FenceNumber)> {
+    /// Returns the runs of keys from `first` to `last` that the upstream may
+    /// hold, each under one fence.
+    pub fn held_runs(&self, first: RangeKey, last: RangeKey) -> Vec<HeldRun> {
         let inside = self.inside(first, last);
         inside
-            .map(|range| (range.first, range.last, fence_of(range.base, self.life)))
+            .map(|range| HeldRun {
+                first: range.first,
+                last: range.last,
+                base: range.base,
+                fence: fence_of(range.base, self.life),
+            })
             .collect()
     }
 
@@ -300,6 +324,7 @@
         possible_until: Duration::ZERO,
         unknown_until: Duration::ZERO,
         sent: None,
+        next_try: Duration::ZERO,
         releasing: false,
     }
 }
--- a/src/sidecar/dispatch.rs
+++ b/src/sidecar/dispatch.rs
@@ -8,13 +8,13 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::RngExt;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
@@ -62,12 +62,13 @@
 /// When a caller is told to come back if its key has no owner.
 const OWNER_RETRY: Duration = Duration::from_millis(400);
 
+/// Part of the time left after which a caller comes back to an overloaded
+/// service, at least and at most. Callers wait up to a third of it.
+const RETURN_PART: (f64, f64) = (0.2, 0.33);
+
 /// How often a request that runs elsewhere looks whether that process lives.
 const LIVENESS_INTERVAL: Duration = Duration::from_millis(150);
 
-/// An answer needs so long on its way out of a process that ends.
-const STOP_MARGIN: Duration = Duration::from_millis(150);
-
 /// A caller's request.
 #[derive(Debug, Clone)]
 pub struct EntryRequest {
@@ -176,7 +177,10 @@
     service: ServiceName,
     subject: ChainSubject,
     arrived: Instant,
+    /// When the caller or the route gives up, whichever is first.
     deadline: Instant,
+    /// When the caller gives up.
+    caller_deadline: Instant,
 }
 
 /// Passes callers' requests on. Cloning shares it.
@@ -198,8 +202,6 @@
     here: Arc<AtomicU32>,
     active: Arc<AtomicU32>,
     last_arrival: Mutex<Instant>,
-    /// When the process ends, once it leaves.
-    stops_at: OnceLock<Instant>,
 }
 
 impl<U: UpstreamPort> SidecarDispatcher<U> {
@@ -222,7 +224,6 @@
             here: Arc::default(),
             active: Arc::default(),
             last_arrival: Mutex::new(Instant::now()),
-            stops_at: OnceLock::new(),
         };
         Self {
             shared: Arc::new(shared),
@@ -269,22 +270,19 @@
         Some(routes.configuration().limits.body_bytes)
     }
 
-    /// The process ends at `stops_at`: requests that might outlast it are
-    /// refused, so that none is cut off.
+    /// The process ends at `stops_at`, as [`SidecarOwner::stop_at`].
     pub fn stop_at(&self, stops_at: Instant) {
-        // Only the first word counts: a process leaves once.
-        let _is_first = self.shared.stops_at.set(stops_at).is_ok();
+        self.owner.stop_at(stops_at);
     }
 
-    fn outlasts_process(&self, deadline: Instant) -> bool {
-        let stops_at = self.shared.stops_at.get();
-        stops_at.is_some_and(|stops_at| deadline + STOP_MARGIN > *stops_at)
+    /// Returns how many requests are on their way.
+    pub fn active(&self) -> u32 {
+        self.shared.active.load(Ordering::Relaxed)
     }
 
     /// Returns for how long there has been no request; none while there are any.
     pub fn quiet_for(&self) -> Option<Duration> {
-        let active = self.shared.active.load(Ordering::Relaxed);
-        (active == 0).then(|| self.last_arrival().elapsed())
+        (self.active() == 0).then(|| self.last_arrival().elapsed())
     }
 
     fn last_arrival(&self) -> MutexGuard<'_, Instant> {
@@ -320,13 +318,14 @@
             subject,
             arrived,
             deadline: arrived + limit,
+            caller_deadline: arrived + request.deadline.unwrap_or(limit),
         };
-        if self.outlasts_process(planned.deadline) {
+        if self.owner.outlasts_process(planned.deadline) {
             let failure = OrderFailure::new(
                 ErrorKind::Draining,
                 "the process ends before the request might",
             );
-            return Err(EntryFailure::Failed(with_retry(failure)));
+            return Err(EntryFailure::Failed(with_retry(failure, OWNER_RETRY)));
         }
         self.count_request(&planned.service);
         self.attempt_all(&planned, attempts)
@@ -386,7 +385,12 @@
                 continue;
             }
             // A request that may have run is never told to be not run.
-            return Err(may_have_run.unwrap_or_else(|| with_retry(failure)));
+            return Err(may_have_run.unwrap_or_else(|| {
+                let left = planned
+                    .caller_deadline
+                    .saturating_duration_since(Instant::now());
+                with_retry(failure, left)
+            }));
         }
     }
 
@@ -643,10 +647,25 @@
     )
 }
 
-/// Tells a caller when to come back, where the request has not run.
-fn with_retry(mut failure: OrderFailure) -> OrderFailure {
-    let not_run = failure.kind.answer().outcome == RequestOutcome::NotRun;
-    if not_run && failure.retry_after.is_none() {
+/// Tells a caller with `left` until its deadline when to come back, where the
+/// request has not run.
+///
+/// An overload lasts for seconds: a caller that comes back soon is refused
+/// again, and has a try less. It is sent away for the longest time after which
+/// its remaining tries still fit, spread so that callers do not return together.
+fn with_retry(mut failure: OrderFailure, left: Duration) -> OrderFailure {
+    if failure.kind.answer().outcome != RequestOutcome::NotRun {
+        return failure;
+    }
+    let overloaded = matches!(
+        failure.kind,
+        ErrorKind::Overloaded | ErrorKind::DeadlineBeforeStart
+    );
+    if overloaded {
+        let part = rand::rng().random_range(RETURN_PART.0..RETURN_PART.1);
+        let told = failure.retry_after.unwrap_or_default();
+        failure.retry_after = Some(told.max(left.mul_f64(part)));
+    } else if failure.retry_after.is_none() {
         failure.retry_after = Some(OWNER_RETRY);
     }
     failure
--- a/src/sidecar/fleet.rs
+++ b/src/sidecar/fleet.rs
@@ -67,6 +67,8 @@
     /// Offset that the next record of the fleet's topic will get, as this
     /// process last read it.
     end: watch::Sender<Option<Offset>>,
+    /// When a read of the store last failed.
+    failed: watch::Sender<Option<Duration>>,
     /// Fires when the operator's topic should be read at once.
     pub nudge_operator: Notify,
     /// Fires when the fleet's topic should be read at once.
@@ -87,6 +89,7 @@
             map: watch::channel(MapView::default()).0,
             directory,
             end: watch::channel(None).0,
+            failed: watch::channel(None).0,
             nudge_operator: Notify::new(),
             nudge_fleet: Notify::new(),
             behind: Notify::new(),
@@ -135,6 +138,16 @@
         });
     }
 
+    /// A read of the store failed.
+    pub fn note_store_failure(&self) {
+        self.failed.send_replace(Some(since_boot()));
+    }
+
+    /// Returns when a read of the store last failed.
+    pub fn store_failed(&self) -> Option<Duration> {
+        *self.failed.borrow()
+    }
+
     /// Locks the directory of members, for a moment.
     pub fn directory(&self) -> MutexGuard<'_, PeerDirectory> {
         self.directory
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -105,6 +105,7 @@
                 next = None;
             }
             Err(error) => {
+                fleet.note_store_failure();
                 if backoff.failures() == 0 {
                     log::warn!(topic:? = topic, error:% = error; "store: lost");
                 }
--- a/src/sidecar/keeper.rs
+++ b/src/sidecar/keeper.rs
@@ -82,9 +82,16 @@
 /// Wait before a change of the map whose answer was lost is tried again.
 const RETRY_CHANGE: Duration = Duration::from_millis(200);
 
-/// A move that cannot be written for so long is called off, if it is certain
-/// that it was not written.
-const MOVE_LIMIT: Duration = Duration::from_secs(2);
+/// How long the writer of all changes has for a change before its owner writes
+/// it itself, and after which it is asked again.
+const WRITER_TIME: Duration = Duration::from_millis(150);
+
+/// Changes that a writer collects into one record at most.
+const MOST_COLLECTED: usize = 24;
+
+/// A store that failed counts as away for so long: no move for load begins,
+/// since its keys would be closed until it can be written.
+const STORE_DOUBT: Duration = Duration::from_millis(1_200);
 
 /// Time between two asks whether a holder has lapsed.
 const ASK_INTERVAL: Duration = Duration::from_millis(150);
@@ -93,7 +100,11 @@
 const SHED_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Least time between two moves for load: the first one has to show first.
-const SHED_PAUSE: Duration = Duration::from_millis(900);
+const SHED_PAUSE: Duration = Duration::from_millis(800);
+
+/// Each other owner adds so much to the pause, so that the map does not change
+/// more often in a larger fleet.
+const SHED_PAUSE_PER_OWNER: Duration = Duration::from_millis(40);
 
 /// How often request counts by key are halved.
 const DECAY_INTERVAL: Duration = Duration::from_millis(700);
@@ -198,9 +209,18 @@
     /// Offset at which a change of the voters may still take effect.
     #[builder(skip)]
     open_voters: Option<Offset>,
-    /// Offset at which a finished move may still take effect.
+    /// When the writer of all changes was asked for the finished move.
+    #[builder(skip)]
+    asked_writer: Option<Duration>,
+    /// How often a writer was asked for the finished move.
+    #[builder(skip)]
+    asks: usize,
+    /// Changes that others asked this process to write, by owner.
+    #[builder(skip)]
+    collected: FastMap<Incarnation, MapEdit>,
+    /// When the store last failed.
     #[builder(skip)]
-    open_transfer: Option<Offset>,
+    store_failed: Option<Duration>,
     #[builder(skip)]
     planned: Option<RangeMove>,
     #[builder(skip)]
@@ -248,6 +268,11 @@
         match event {
             KeeperEvent::Datagram(from, datagram) => self.take_datagram(from, &datagram),
             KeeperEvent::Granted(grant, sent, verdict) => {
+                if verdict == GrantVerdict::Gone
+                    && let Some(life) = self.seen_life
+                {
+                    self.registry.note_refused(life);
+                }
                 if verdict != GrantVerdict::Granted {
                     log::warn!(first = grant.first, last = grant.last, fence = grant.fence, verdict:? = verdict; "ranges: a grant failed");
                 }
@@ -283,6 +308,13 @@
                 };
                 self.socket.send(from, &vote);
             }
+            PeerDatagram::AskWrite {
+                writer,
+                owner,
+                ref edit,
+            } if writer == own && self.collected.len() < MOST_COLLECTED => {
+                self.collected.insert(owner, edit.clone());
+            }
             PeerDatagram::Vote {
                 voter,
                 holder,
@@ -352,8 +384,8 @@
                 if certain && self.open_voters == Some(change.at) {
                     self.settle_voters();
                 }
-                if certain && self.open_transfer == Some(change.at) {
-                    self.open_transfer = None;
+                if error != StoreError::Conflict {
+                    self.store_failed = Some(now);
                 }
             }
         }
@@ -437,9 +469,6 @@
         if self.open_voters.is_some_and(|at| end > at) {
             self.settle_voters();
         }
-        if self.open_transfer.is_some_and(|at| end > at) {
-            self.open_transfer = None;
-        }
     }
 
     fn follow_term(&mut self, holder: Option<&RangeHolder>, now: Duration) {
@@ -530,7 +559,7 @@
         self.settle_move(now);
     }
 
-    /// Ends a move that the map shows, or that cannot be written.
+    /// Ends a move that the map shows.
     fn settle_move(&mut self, now: Duration) {
         let Some(planned) = &self.planned else { return };
         let Some(transfers) = planned.transfers(now) else {
@@ -542,13 +571,8 @@
         if !transfers.iter().any(owned) {
             log::info!(cause:? = planned.cause, took_ms = (now.saturating_sub(planned.started)).as_millis() as u64; "ranges: moved");
             self.planned = None;
-            return;
-        }
-        let late = now.saturating_sub(planned.started) > MOVE_LIMIT;
-        if late && self.open_transfer.is_none() && planned.cause == MoveCause::Load {
-            log::warn!("ranges: called a move off");
-            self.planned = None;
-            self.holdings.cancel_release();
+            self.asked_writer = None;
+            self.asks = 0;
         }
     }
 
@@ -625,7 +649,7 @@
             candidates: &candidates,
         };
         let due = self
-            .due_transfer(now)
+            .due_transfers(&duties, now)
             .or_else(|| duties.adopt_candidates())
             .or_else(|| self.due_voters(&view.map, now))
             .or_else(|| self.due_expulsion(&duties, now))
@@ -650,8 +674,11 @@
                 }
                 self.open_voters = Some(change.at);
             }
-            MapEdit::Transfer { .. } => self.open_transfer = Some(change.at),
-            MapEdit::Adopt { .. } | MapEdit::Assign { .. } | MapEdit::Expel { .. } => {}
+            MapEdit::Adopt { .. }
+            | MapEdit::Assign { .. }
+            | MapEdit::Batch(_)
+            | MapEdit::Expel { .. }
+            | MapEdit::Transfer { .. } => {}
         }
         self.next_change = None;
         let store = self.store.clone();
@@ -665,13 +692,47 @@
         });
     }
 
-    fn due_transfer(&self, now: Duration) -> Option<MapEdit> {
+    /// Returns the finished move of this process and those that others asked
+    /// it to write.
+    fn due_transfers(&mut self, duties: &DutyView<'_>, now: Duration) -> Option<MapEdit> {
+        let mut edits: Vec<MapEdit> = self.collected.drain().map(|(_owner, edit)| edit).collect();
+        edits.extend(self.due_transfer(duties, now));
+        (!edits.is_empty()).then_some(MapEdit::Batch(edits))
+    }
+
+    /// Returns the finished move, if this process is to write it itself: it is
+    /// the writer of all changes, or the writer has had its time. After that
+    /// another one is asked, since this process may be cut off from the store.
+    fn due_transfer(&mut self, duties: &DutyView<'_>, now: Duration) -> Option<MapEdit> {
         let planned = self.planned.as_ref()?;
-        Some(MapEdit::Transfer {
+        let edit = MapEdit::Transfer {
             service: planned.service.clone(),
             owner: self.own(),
             transfers: planned.transfers(now)?,
-        })
+        };
+        let mates = duties.mates();
+        let writer = *mates.get(self.asks % mates.len().max(1))?;
+        let waited = self.asked_writer.map(|asked| now.saturating_sub(asked));
+        if writer == self.own() || waited.is_some_and(|waited| waited > WRITER_TIME) {
+            self.asked_writer = None;
+            self.asks += usize::from(writer == self.own());
+            return Some(edit);
+        }
+        if waited.is_none() {
+            self.asked_writer = Some(now);
+            self.asks += 1;
+            let address = self.fleet.directory().find(writer)?.member.address;
+            let owner = self.own();
+            self.socket.send(
+                address,
+                &PeerDatagram::AskWrite {
+                    writer,
+                    owner,
+                    edit,
+                },
+            );
+        }
+        None
     }
 
     fn due_voters(&self, map: &RangeMap, now: Duration) -> Option<MapEdit> {
@@ -800,6 +861,7 @@
                 .map(|parts| (MoveCause::Leave, parts))
         } else {
             self.parts_for_load(&view.map, now)
+                .filter(|_parts| !self.doubts_store(now))
                 .map(|parts| (MoveCause::Load, parts))
         };
         if let Some((cause, parts)) = parts {
@@ -812,11 +874,22 @@
                 &mut self.holdings,
                 now,
             ));
-            self.next_shed = now + SHED_PAUSE;
+            let owners = self.mates(&view.map, now).len() as u32;
+            self.next_shed = now + SHED_PAUSE + SHED_PAUSE_PER_OWNER * owners;
             self.advance_move(now);
         }
     }
 
+    fn doubts_store(&self, now: Duration) -> bool {
+        let failed = self
+            .store_failed
+            .into_iter()
+            .chain(self.fleet.store_failed());
+        failed
+            .max()
+            .is_some_and(|failed| now < failed + STORE_DOUBT)
+    }
+
     /// Divides everything that this process owns among the other owners.
     fn parts_of_leaver(&self, map: &RangeMap, now: Duration) -> Option<Vec<RangeTransfer>> {
         let mates: Vec<Incarnation> = self
@@ -891,6 +964,8 @@
         first,
         last,
         target: Some(target),
+        // Filled in by the move, from what the upstream holds.
+        base: 0,
         handover: None,
     }
 }
--- a/src/sidecar/moves.rs
+++ b/src/sidecar/moves.rs
@@ -13,6 +13,7 @@
 use crate::ranges::FenceNumber;
 use crate::ranges::RangeKey;
 use crate::ranges::edit::RangeTransfer;
+use crate::ranges::holdings::HeldRun;
 use crate::ranges::holdings::RangeHoldings;
 
 /// Why ranges are given away.
@@ -39,9 +40,7 @@
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct MovePiece {
-    first: RangeKey,
-    last: RangeKey,
-    fence: FenceNumber,
+    run: HeldRun,
     target: Option<Incarnation>,
     state: PieceState,
 }
@@ -83,11 +82,9 @@
         }
         let mut pieces = Vec::new();
         for part in parts {
-            let held = holdings.release_calls(part.first, part.last);
-            pieces.extend(held.into_iter().map(|(first, last, fence)| MovePiece {
-                first,
-                last,
-                fence,
+            let held = holdings.held_runs(part.first, part.last);
+            pieces.extend(held.into_iter().map(|run| MovePiece {
+                run,
                 target: part.target,
                 state: PieceState::Closed,
             }));
@@ -105,16 +102,18 @@
     pub fn due_releases(&mut self, holdings: &RangeHoldings, present: bool) -> Vec<ReleaseCall> {
         let mut calls = Vec::new();
         for piece in &mut self.pieces {
-            if piece.state != PieceState::Closed || holdings.is_granting(piece.first, piece.last) {
+            if piece.state != PieceState::Closed
+                || holdings.is_granting(piece.run.first, piece.run.last)
+            {
                 continue;
             }
-            let possible = holdings.possible_until(piece.first, piece.last);
+            let possible = holdings.possible_until(piece.run.first, piece.run.last);
             if present && !possible.is_zero() {
                 piece.state = PieceState::Releasing;
                 calls.push(ReleaseCall {
-                    first: piece.first,
-                    last: piece.last,
-                    fence: piece.fence,
+                    first: piece.run.first,
+                    last: piece.run.last,
+                    fence: piece.run.fence,
                 });
             } else {
                 piece.state = PieceState::Free {
@@ -134,16 +133,16 @@
         holdings: &RangeHoldings,
     ) {
         for piece in &mut self.pieces {
-            if piece.first != call.first || piece.state != PieceState::Releasing {
+            if piece.run.first != call.first || piece.state != PieceState::Releasing {
                 continue;
             }
             piece.state = match verdict {
                 ReleaseVerdict::Released(handover) => PieceState::Free {
-                    from: holdings.unknown_until(piece.first, piece.last),
+                    from: holdings.unknown_until(piece.run.first, piece.run.last),
                     handover: handover.clone(),
                 },
                 ReleaseVerdict::Unknown => PieceState::Free {
-                    from: holdings.possible_until(piece.first, piece.last),
+                    from: holdings.possible_until(piece.run.first, piece.run.last),
                     handover: None,
                 },
             };
@@ -166,9 +165,10 @@
     pub fn transfers(&self, now: Duration) -> Option<Vec<RangeTransfer>> {
         let transfers = self.pieces.iter().map(|piece| match &piece.state {
             PieceState::Free { from, handover } if *from <= now => Some(RangeTransfer {
-                first: piece.first,
-                last: piece.last,
+                first: piece.run.first,
+                last: piece.run.last,
                 target: piece.target,
+                base: piece.run.base,
                 handover: handover.clone(),
             }),
             _ => None,
--- a/src/sidecar/owner.rs
+++ b/src/sidecar/owner.rs
@@ -5,6 +5,7 @@
 //! the wait for the slot, right before the request is sent.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -45,6 +46,9 @@
 /// was just written takes some milliseconds to reach its new owner's upstream.
 const GRANT_WAIT: Duration = Duration::from_millis(400);
 
+/// An answer needs so long on its way out of a process that ends.
+const STOP_MARGIN: Duration = Duration::from_millis(150);
+
 /// Rank of a request whose route is not known here.
 const UNKNOWN_RANK: u8 = 1;
 
@@ -59,6 +63,9 @@
     port: U,
     metrics: SidecarMetrics,
     log: RequestLog,
+    /// When the process ends, once it leaves.
+    #[builder(default)]
+    stops_at: Arc<OnceLock<Instant>>,
 }
 
 impl<U: UpstreamPort> SidecarOwner<U> {
@@ -67,6 +74,19 @@
         &self.slots
     }
 
+    /// The process ends at `stops_at`: requests that might outlast it are
+    /// refused, so that none is cut off.
+    pub fn stop_at(&self, stops_at: Instant) {
+        // Only the first word counts: a process leaves once.
+        let _is_first = self.stops_at.set(stops_at).is_ok();
+    }
+
+    /// Tells whether work that ends at `deadline` might outlast the process.
+    pub fn outlasts_process(&self, deadline: Instant) -> bool {
+        let stops_at = self.stops_at.get();
+        stops_at.is_some_and(|stops_at| deadline + STOP_MARGIN > *stops_at)
+    }
+
     /// Returns the load of the upstream if it serves `service` and takes
     /// requests.
     pub fn local_gauge(&self, service: &str) -> Option<(UpstreamPhase, SlotGauge)> {
@@ -79,6 +99,12 @@
         let arrived = Instant::now();
         let order = Arc::new(order);
         let deadline = arrived + order.remaining.unwrap_or(DEFAULT_DEADLINE);
+        if self.outlasts_process(deadline) {
+            return Err(OrderFailure::new(
+                ErrorKind::Draining,
+                "the process ends before the request might",
+            ));
+        }
         let key = owned_key(&order);
         if let Some(key) = key {
             self.gate.count(key);
@@ -138,6 +164,7 @@
         SlotDemand {
             kind: &order.class,
             rank: route.map_or(UNKNOWN_RANK, |route| route.rule.rank),
+            span: route.map_or(DEFAULT_DEADLINE, |route| route.rule.target),
             target: arrived + target,
             deadline,
         }
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -1,6 +1,8 @@
 //! Start, reload and drain of one sidecar.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -67,6 +69,10 @@
 /// A leaving process ends once there has been no request for so long.
 const QUIET_TIME: Duration = Duration::from_millis(300);
 
+/// Time that it takes to give everything away and to finish what the upstream
+/// runs: long requests take about a second.
+const GIVING_TIME: Duration = Duration::from_millis(1_500);
+
 /// A leaving process ends so long before its time is over, whatever runs.
 const LEAVE_MARGIN: Duration = Duration::from_millis(400);
 
@@ -85,6 +91,9 @@
     settings: Arc<SidecarSettings>,
     fleet: Arc<FleetState>,
     slots: SlotQueue,
+    /// Whether callers are to go elsewhere.
+    closed: Arc<AtomicBool>,
+    /// Whether the process gives everything away.
     leaving: Arc<watch::Sender<bool>>,
 }
 
@@ -194,25 +203,33 @@
             settings,
             fleet,
             slots,
+            closed: Arc::default(),
             leaving: Arc::new(leaving),
         })
     }
 
     /// Tells whether the process takes callers.
     pub fn is_ready(&self) -> bool {
-        !*self.leaving.borrow() && self.fleet.routes().is_some()
+        !self.closed.load(Ordering::Relaxed) && self.fleet.routes().is_some()
     }
 
-    /// Gives everything away, finishes what runs, and returns when the process
-    /// may end.
+    /// Sends callers elsewhere, then gives everything away, finishes what runs,
+    /// and returns when the process may end.
+    ///
+    /// The upstream works on while callers are still being sent elsewhere, so
+    /// that its slots and keys are missing for as short as possible.
     pub async fn leave(&self) {
         let started = Instant::now();
         let limit = started + self.settings.grace.saturating_sub(LEAVE_MARGIN);
         log::info!(grace_ms = self.settings.grace.as_millis() as u64; "process: leaves");
-        self.leaving.send_replace(true);
+        self.closed.store(true, Ordering::Relaxed);
         self.dispatcher.stop_at(limit);
         sleep(READINESS_TIME.min(self.settings.grace / 2)).await;
         self.closing.cancel();
+        while Instant::now() + GIVING_TIME < limit && self.has_callers() {
+            sleep(QUEUE_INTERVAL).await;
+        }
+        self.leaving.send_replace(true);
         while Instant::now() < limit && !self.is_done() {
             sleep(QUEUE_INTERVAL).await;
         }
@@ -223,6 +240,12 @@
         );
     }
 
+    /// Tells whether callers still wait for answers, beside the upstream, whose
+    /// running requests make calls of their own.
+    fn has_callers(&self) -> bool {
+        self.dispatcher.active() > self.slots.gauge().running
+    }
+
     fn is_done(&self) -> bool {
         let quiet = self
             .dispatcher
--- a/tests/testsuite/mesh_moves.rs
+++ b/tests/testsuite/mesh_moves.rs
@@ -53,6 +53,7 @@
         first,
         last,
         target: Some(2),
+        base: 10,
         handover: None,
     }
 }
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -89,7 +89,7 @@
 #[test]
 fn a_configuration_cut_short_or_of_other_types_is_refused_with_its_field() {
     let cut = RecordDecoder.decode(&CONFIGURATION.as_bytes()[..200]);
-    assert!(cut.is_err());
+    cut.expect_err("cut short");
     let typed = CONFIGURATION.replace("\"maxAttempts\": 2}}\n", "\"maxAttempts\": -1}}\n");
     let error = RecordDecoder.decode(typed.as_bytes()).expect_err("a fault");
     assert!(error.to_string().contains("max"), "{error}");
@@ -185,8 +185,7 @@
     let client = StoreClient::new(store.address());
     let mut naive = BTreeMap::new();
 
-    let mut end = 0;
-    for step in 0..40_u8 {
+    for (end, step) in (0..).zip(0..40_u8) {
         let key = format!("key-{}", step % 7);
         let value = if step % 5 == 0 {
             vec![]
@@ -199,7 +198,6 @@
             .await
             .expect("appended");
         assert_eq!(offset, end);
-        end += 1;
         if value.is_empty() {
             naive.remove(&key);
         } else {
--- a/tests/testsuite/ranges_holdings.rs
+++ b/tests/testsuite/ranges_holdings.rs
@@ -131,7 +131,7 @@
     holdings.take_verdict(&grants[0], ms(0), GrantVerdict::Granted);
 
     assert!(!holdings.is_granting(10, 19));
-    assert_eq!(holdings.release_calls(10, 19).len(), 1);
+    assert_eq!(holdings.held_runs(10, 19).len(), 1);
 }
 
 #[test]
--- a/tests/testsuite/ranges_map.rs
+++ b/tests/testsuite/ranges_map.rs
@@ -6,6 +6,7 @@
 use buckthornwinch::ranges::LAST_KEY;
 use buckthornwinch::ranges::edit;
 use buckthornwinch::ranges::edit::HolderCandidate;
+use buckthornwinch::ranges::edit::MapEdit;
 use buckthornwinch::ranges::edit::RangeTransfer;
 use buckthornwinch::ranges::map::KeyRange;
 use buckthornwinch::ranges::map::RangeMap;
@@ -48,6 +49,7 @@
         first,
         last,
         target: Some(target),
+        base: 10,
         handover: Some("state".into()),
     }
 }
@@ -142,6 +144,40 @@
     assert!(is_whole(&map));
 }
 
+#[test]
+fn a_transfer_that_was_held_up_changes_nothing_once_the_keys_came_back() {
+    let map = shared_map(2);
+    let late = give(5, 9, 2);
+    let away = edit::transfer(&map, SERVICE, 1, std::slice::from_ref(&late), 20).expect("moved");
+    let mut back = give(5, 9, 1);
+    back.base = 20;
+    let returned = edit::transfer(&away, SERVICE, 2, &[back], 21).expect("moved back");
+
+    assert_eq!(edit::transfer(&returned, SERVICE, 1, &[late], 22), None);
+}
+
+#[test]
+fn a_batch_applies_what_fits_in_one_record() {
+    let map = shared_map(2);
+    let transfer = |owner, part| MapEdit::Transfer {
+        service: SERVICE.into(),
+        owner,
+        transfers: vec![part],
+    };
+    let batch = MapEdit::Batch(vec![
+        transfer(1, give(5, 9, 2)),
+        transfer(9, give(20, 30, 2)),
+        transfer(2, give(60_000, 60_010, 1)),
+    ]);
+
+    let edited = batch.apply(&map, 20).expect("two fit");
+
+    assert_eq!(edited.owner(SERVICE, 7), Some(2));
+    assert_eq!(edited.owner(SERVICE, 25), Some(1));
+    assert_eq!(edited.owner(SERVICE, 60_005), Some(1));
+    assert_eq!(batch.apply(&edited, 21), None);
+}
+
 #[test]
 fn an_expulsion_names_the_term_that_was_refused() {
     let map = shared_map(3);
@@ -179,7 +215,9 @@
         for (at, (left, right, target)) in (20..).zip(parts) {
             let (first, last) = (left.min(right), left.max(right));
             let owner = map.owner(SERVICE, first).expect("owned");
-            if let Some(moved) = edit::transfer(&map, SERVICE, owner, &[give(first, last, target)], at) {
+            let mut part = give(first, last, target);
+            part.base = map.service(SERVICE).and_then(|service| service.find(first)).map_or(0, |range| range.fence_base);
+            if let Some(moved) = edit::transfer(&map, SERVICE, owner, &[part], at) {
                 prop_assert_eq!(moved.owner(SERVICE, first), Some(target));
                 prop_assert_eq!(moved.owner(SERVICE, last), Some(target));
                 map = moved;
