sidecar: split the keeper and the dispatcher by duty; take the kept slots out

Cause: slots kept for more urgent kinds made more urgent requests be refused, since the predicted wait does not know of them, and left slots idle.

--- a/src/admission/deadline_queue.rs
+++ b/src/admission/deadline_queue.rs
@@ -8,13 +8,11 @@
 //!   strictly one after the other, and a request that would end after its
 //!   deadline is refused on arrival, with the time after which there is room.
 //! * Calls that running work makes, whose callers hold a slot elsewhere: they
-//!   have the nearest target and so go first within their rank, and less urgent
-//!   kinds leave as many slots free as more urgent ones keep busy on average.
-//!   Otherwise a call waits for the end of some long request, while its caller
-//!   holds a slot of a scarcer upstream.
+//!   have the nearest target and so go first within their rank.
 //! * More work of one rank than can be in time: a request that cannot meet its
-//!   target any more steps behind those of its rank that can, so that lateness
-//!   does not spread from one request to the next.
+//!   target any more steps behind all that can, so that lateness does not
+//!   spread from one request to the next. It is not refused: its caller would
+//!   come back, and find the same overload.
 
 use std::time::Duration;
 
@@ -32,13 +30,6 @@
 /// The shortest and the longest time to retry that a refusal names.
 const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(3));
 
-/// Most slots that a kind leaves free for more urgent ones: one part in so many.
-const RESERVED_PARTS: u32 = 3;
-
-/// A kind is more urgent than another of its rank if its requests are due in at
-/// most one part in so many of the other's time.
-const URGENT_PARTS: u32 = 2;
-
 /// Index of a kind of requests.
 pub type KindIndex = usize;
 
@@ -47,24 +38,14 @@
 struct RequestKind {
     name: Box<str>,
     rank: u8,
-    /// Time from a request's start to its target.
-    span: Duration,
     /// Smoothed time for which a request holds a slot; none before the first.
     service: Option<Duration>,
-    running: u32,
     /// Slot time that was asked for since the last sample.
     asked: Duration,
     /// Smoothed slots that the kind would keep busy.
     offered: f32,
 }
 
-impl RequestKind {
-    fn precedes(&self, other: &Self) -> bool {
-        self.rank < other.rank
-            || (self.rank == other.rank && self.span * URGENT_PARTS <= other.span)
-    }
-}
-
 /// Numbers the requests of a queue.
 pub type QueueTicket = u64;
 
@@ -146,23 +127,20 @@
     }
 
     /// Returns the kind of a name, whose requests have a rank, 0 being the most
-    /// urgent, and are due within `span`.
-    pub fn kind(&mut self, name: &str, rank: u8, span: Duration) -> KindIndex {
+    /// urgent.
+    pub fn kind(&mut self, name: &str, rank: u8) -> KindIndex {
         let known = self.kinds.iter().position(|kind| &*kind.name == name);
         let index = known.unwrap_or(self.kinds.len());
         if known.is_none() {
             self.kinds.push(RequestKind {
                 name: name.into(),
                 rank,
-                span,
                 service: None,
-                running: 0,
                 asked: Duration::ZERO,
                 offered: 0.0,
             });
         }
-        let kind = &mut self.kinds[index];
-        (kind.rank, kind.span) = (rank, span);
+        self.kinds[index].rank = rank;
         index
     }
 
@@ -181,17 +159,6 @@
         self.kinds.iter().map(|kind| kind.offered).sum()
     }
 
-    /// Tells whether a request of a kind may take one of the free slots, and
-    /// not one that is kept for more urgent kinds.
-    fn may_start(&self, kind: KindIndex) -> bool {
-        let own = &self.kinds[kind];
-        let urgent = || self.kinds.iter().filter(|other| other.precedes(own));
-        let offered: f32 = urgent().map(|other| other.offered).sum();
-        let running: u32 = urgent().map(|other| other.running).sum();
-        let reserve = (offered.ceil() as u32).min(self.slots / RESERVED_PARTS);
-        self.running + reserve.saturating_sub(running) < self.slots
-    }
-
     /// Sets how many requests may run at once.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots;
@@ -259,13 +226,10 @@
         if self.running >= self.slots {
             return None;
         }
-        let next = (0..self.waiting.len())
-            .filter(|index| self.may_start(self.waiting[*index].request.kind))
-            .min_by_key(|index| self.waiting[*index].turn(now))?;
+        let next = (0..self.waiting.len()).min_by_key(|index| self.waiting[*index].turn(now))?;
         let started = self.waiting.swap_remove(next);
         let kind = started.request.kind;
         self.running += 1;
-        self.kinds[kind].running += 1;
         Some((kind, started.payload))
     }
 
@@ -297,7 +261,6 @@
     pub fn finish(&mut self, kind: KindIndex, held: Option<Duration>) {
         self.running = self.running.saturating_sub(1);
         let kind = &mut self.kinds[kind];
-        kind.running = kind.running.saturating_sub(1);
         if let Some(held) = held {
             self.service = smooth(self.service, held, SERVICE_WEIGHT);
             let known = kind.service.unwrap_or(held);
--- a/src/admission/slot_queue.rs
+++ b/src/admission/slot_queue.rs
@@ -34,8 +34,6 @@
     pub kind: &'a str,
     /// Their rank; 0 is the most urgent.
     pub rank: u8,
-    /// Time within which they are due.
-    pub span: Duration,
     /// When its answer is due to be worth most.
     pub target: Instant,
     /// When its answer is worth nothing any more.
@@ -119,7 +117,7 @@
             let mut state = self.lock();
             state.arrivals += 1;
             let request = QueuedRequest {
-                kind: state.queue.kind(demand.kind, demand.rank, demand.span),
+                kind: state.queue.kind(demand.kind, demand.rank),
                 target: self.since_start(demand.target),
                 deadline: self.since_start(demand.deadline),
             };
--- a/src/sidecar/dispatch.rs
+++ b/src/sidecar/dispatch.rs
@@ -5,27 +5,19 @@
 //! fleet's allowance. Waiting for the owner of a key is no attempt: nothing was
 //! sent.
 
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
-
-use bytes::Bytes;
-use rand::RngExt;
-use tokio::time::Instant;
-use tokio::time::timeout_at;
-use tokio_util::sync::CancellationToken;
-
 use super::allowance::RepeatAllowance;
 use super::fleet::FleetState;
+use super::links::CountedLink;
+use super::links::FlightGuard;
+use super::links::add_learned;
 use super::metrics::SidecarMetrics;
 use super::owner::SidecarOwner;
 use super::settings::SidecarSettings;
 use super::upstream::UpstreamPort;
-use crate::admission::load::OwnerLoad;
+use super::verdict::OWNER_RETRY;
+use super::verdict::is_misplaced;
+use super::verdict::was_offered;
+use super::verdict::with_retry;
 use crate::base::boot_clock::since_boot;
 use crate::base::collections::FastMap;
 use crate::base::error::ErrorKind;
@@ -48,6 +40,17 @@
 use crate::transport::link::PeerLink;
 use crate::transport::link::RequestNumbers;
 use crate::transport::server::OrderHandler;
+use bytes::Bytes;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+use tokio_util::sync::CancellationToken;
 
 /// Time that the owner's verdict needs to come back before the entry gives up.
 const VERDICT_TIME: Duration = Duration::from_millis(25);
@@ -59,13 +62,6 @@
 /// its answer would be late anyway, and the caller can come back.
 const OWNER_PATIENCE: f64 = 0.6;
 
-/// When a caller is told to come back if its key has no owner.
-const OWNER_RETRY: Duration = Duration::from_millis(400);
-
-/// Part of the time left after which a caller comes back to an overloaded
-/// service, at least and at most. Callers wait up to a third of it.
-const RETURN_PART: (f64, f64) = (0.2, 0.33);
-
 /// How often a request that runs elsewhere looks whether that process lives.
 const LIVENESS_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -117,52 +113,6 @@
 /// The upstream's answer, or why there is none.
 pub type EntryResult = Result<crate::delivery::message::UpstreamAnswer, EntryFailure>;
 
-/// A link to another process, with the requests that this entry has there.
-#[derive(Debug, Clone)]
-struct CountedLink {
-    link: PeerLink,
-    in_flight: Arc<AtomicU32>,
-    learned: Arc<Mutex<LearnedLoad>>,
-}
-
-/// The load that the newest answer told, and what was sent since.
-#[derive(Debug, Clone, Copy, Default)]
-struct LearnedLoad {
-    load: OwnerLoad,
-    at: Duration,
-    sent_since: u32,
-}
-
-impl CountedLink {
-    fn learned(&self) -> MutexGuard<'_, LearnedLoad> {
-        self.learned.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn learn(&self) {
-        *self.learned() = LearnedLoad {
-            load: self.link.load(),
-            at: since_boot(),
-            sent_since: 0,
-        };
-    }
-}
-
-/// Counts a request as being at a process until dropped.
-struct FlightGuard(Arc<AtomicU32>);
-
-impl FlightGuard {
-    fn new(count: &Arc<AtomicU32>) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(count))
-    }
-}
-
-impl Drop for FlightGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Where a request is to run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum OrderTarget {
@@ -608,65 +558,3 @@
         action(allowances.entry(service.clone()).or_default())
     }
 }
-
-/// Adds what this entry's own requests showed of an upstream: the load that an
-/// answer told, if that is newer than the report, and what was sent since.
-fn add_learned(candidate: &mut PlacementCandidate, link: &CountedLink, now: Duration) {
-    let learned = *link.learned();
-    let in_flight = link.in_flight.load(Ordering::Relaxed);
-    candidate.unreported = learned.sent_since.min(in_flight);
-    let age = now.saturating_sub(learned.at);
-    if age < candidate.age && learned.load.limit > 0 {
-        candidate.age = age;
-        candidate.gauge.running = u16::try_from(learned.load.running).unwrap_or(u16::MAX);
-        candidate.gauge.waiting = u16::try_from(learned.load.waiting).unwrap_or(u16::MAX);
-    }
-}
-
-/// Tells whether the request reached an upstream, or may have.
-fn was_offered(failure: &OrderFailure) -> bool {
-    matches!(
-        failure.kind,
-        ErrorKind::UpstreamRefused
-            | ErrorKind::UpstreamFailed
-            | ErrorKind::AnswerTruncated
-            | ErrorKind::ConnectionLost
-            | ErrorKind::DeadlineAfterStart
-    )
-}
-
-/// Tells whether the request went to a process that does not serve it now.
-fn is_misplaced(kind: ErrorKind) -> bool {
-    matches!(
-        kind,
-        ErrorKind::NoOwner
-            | ErrorKind::NotOwner
-            | ErrorKind::OwnerUnreachable
-            | ErrorKind::Draining
-            | ErrorKind::LeaseLapsed
-    )
-}
-
-/// Tells a caller with `left` until its deadline when to come back, where the
-/// request has not run.
-///
-/// An overload lasts for seconds: a caller that comes back soon is refused
-/// again, and has a try less. It is sent away for the longest time after which
-/// its remaining tries still fit, spread so that callers do not return together.
-fn with_retry(mut failure: OrderFailure, left: Duration) -> OrderFailure {
-    if failure.kind.answer().outcome != RequestOutcome::NotRun {
-        return failure;
-    }
-    let overloaded = matches!(
-        failure.kind,
-        ErrorKind::Overloaded | ErrorKind::DeadlineBeforeStart
-    );
-    if overloaded {
-        let part = rand::rng().random_range(RETURN_PART.0..RETURN_PART.1);
-        let told = failure.retry_after.unwrap_or_default();
-        failure.retry_after = Some(told.max(left.mul_f64(part)));
-    } else if failure.retry_after.is_none() {
-        failure.retry_after = Some(OWNER_RETRY);
-    }
-    failure
-}
--- /dev/null
+++ b/src/sidecar/keeper/gate.rs
@@ -0,0 +1,43 @@
+//! What the request path asks about ranges.
+
+use crate::base::boot_clock::since_boot;
+use crate::ranges::RangeKey;
+use crate::ranges::heat::KeyHeat;
+use crate::ranges::holdings::KeyAdmission;
+use crate::ranges::holdings::RangeHoldings;
+use arc_swap::ArcSwap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use tokio::sync::Notify;
+
+/// What the request path asks about ranges. Cloning shares it.
+#[derive(Debug, Clone, Default)]
+pub struct RangeGate {
+    holdings: Arc<ArcSwap<RangeHoldings>>,
+    pub(super) heat: Arc<Mutex<KeyHeat>>,
+    changed: Arc<Notify>,
+}
+
+impl RangeGate {
+    /// Tells whether a request for a key may be dispatched now.
+    pub fn admit(&self, key: RangeKey) -> KeyAdmission {
+        self.holdings.load().admit(key, since_boot())
+    }
+
+    /// Waits for the next change of the holdings.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Counts a request for a key.
+    pub fn count(&self, key: RangeKey) {
+        let mut heat = self.heat.lock().unwrap_or_else(PoisonError::into_inner);
+        heat.count(key);
+    }
+
+    pub(super) fn publish(&self, holdings: &RangeHoldings) {
+        self.holdings.store(Arc::new(holdings.clone()));
+        self.changed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/src/sidecar/keeper/sight.rs
@@ -0,0 +1,85 @@
+//! What the keeper sees of the fleet: who may own ranges, and who votes.
+
+use super::RangeKeeper;
+use crate::base::hash::pair_score;
+use crate::base::ids::Incarnation;
+use crate::peers::directory::KnownPeer;
+use crate::peers::message::UpstreamPhase;
+use crate::ranges::edit::HolderCandidate;
+use crate::ranges::lease::VOTER_COUNT;
+use crate::ranges::lease::choose_voters;
+use crate::ranges::map::RangeVoter;
+use crate::sidecar::upstream::UpstreamPort;
+use crate::store::StateStore;
+use std::time::Duration;
+
+/// How long a process waits for its peers' first reports before it names
+/// voters among fewer than it would like.
+const MEETING_TIME: Duration = Duration::from_millis(600);
+
+impl<S: StateStore, U: UpstreamPort> RangeKeeper<S, U> {
+    pub(super) fn divided(&self) -> Vec<crate::base::ids::ServiceName> {
+        let routes = self.fleet.routes();
+        let services = routes
+            .iter()
+            .flat_map(|table| &table.configuration().services);
+        services
+            .filter(|policy| policy.divided)
+            .map(|policy| policy.name.clone())
+            .collect()
+    }
+
+    /// Returns the live processes, this one included, that may own ranges.
+    pub(super) fn candidates(&self, now: Duration) -> Vec<HolderCandidate> {
+        let divided = self.divided();
+        let own = self.fleet.own();
+        let ready = self.registry.current().is_some_and(|upstream| {
+            upstream.phase == UpstreamPhase::Ready && upstream.notice.service == own.service
+        });
+        let interval = self.fleet.report_interval();
+        let (mut members, known, met): (Vec<_>, usize, usize) = {
+            let directory = self.fleet.directory();
+            let live = directory.live(now, interval).count();
+            let ready_peers = directory
+                .live(now, interval)
+                .filter(|peer| peer.takes_requests());
+            let members = ready_peers.map(|peer| peer.member.clone()).collect();
+            (members, directory.peers().count(), live)
+        };
+        let has_met =
+            met >= known.min(VOTER_COUNT) || now.saturating_sub(self.started) > MEETING_TIME;
+        if ready && has_met && !*self.leaving.borrow() {
+            members.push(own.clone());
+        }
+        members
+            .into_iter()
+            .filter(|member| divided.contains(&member.service))
+            .map(|member| HolderCandidate {
+                incarnation: member.incarnation,
+                address: member.address,
+                voters: self.choose_voters(member.incarnation, now),
+                service: member.service,
+                domain: member.domain,
+            })
+            .collect()
+    }
+
+    pub(super) fn choose_voters(&self, holder: Incarnation, now: Duration) -> Vec<RangeVoter> {
+        let interval = self.fleet.report_interval();
+        let own = self.fleet.own();
+        let directory = self.fleet.directory();
+        let live = directory.live(now, interval).filter(|peer| !peer.leaving);
+        let members = live
+            .map(|peer: &KnownPeer| &peer.member)
+            .chain(std::iter::once(own))
+            .filter(|member| member.incarnation != holder);
+        let candidates = members.map(|member| {
+            let voter = RangeVoter {
+                incarnation: member.incarnation,
+                address: member.address,
+            };
+            (voter, &*member.domain)
+        });
+        choose_voters(candidates, |voter| pair_score(holder, voter))
+    }
+}
--- /dev/null
+++ b/src/sidecar/keeper/suspects.rs
@@ -0,0 +1,71 @@
+//! Holders that have fallen silent: their voters are asked whether they lapsed.
+
+use super::LapseSuspicion;
+use super::RangeKeeper;
+use crate::peers::message::PeerDatagram;
+use crate::ranges::lease::VOTER_LEASE;
+use crate::ranges::lease::quorum_of;
+use crate::ranges::map::RangeHolder;
+use crate::sidecar::upstream::UpstreamPort;
+use crate::store::StateStore;
+use std::time::Duration;
+
+/// Time between two asks whether a holder has lapsed.
+const ASK_INTERVAL: Duration = Duration::from_millis(150);
+
+impl<S: StateStore, U: UpstreamPort> RangeKeeper<S, U> {
+    /// Asks voters of holders that have fallen silent whether they lapsed.
+    pub(super) fn ask_suspects(&mut self, now: Duration) {
+        let map = self.fleet.map().map;
+        let own = self.fleet.own().clone();
+        let is_mate = |holder: &&RangeHolder| {
+            holder.service == own.service && holder.incarnation != own.incarnation
+        };
+        for holder in map.holders.iter().filter(is_mate) {
+            if self.fleet.is_live(holder.incarnation) {
+                self.suspicions.remove(&holder.incarnation);
+                continue;
+            }
+            if now.saturating_sub(self.started) < VOTER_LEASE {
+                continue;
+            }
+            let suspicion = self.suspicions.entry(holder.incarnation).or_default();
+            if suspicion.term != holder.term {
+                *suspicion = LapseSuspicion {
+                    term: holder.term,
+                    ..LapseSuspicion::default()
+                };
+            }
+            if now < suspicion.next_ask {
+                continue;
+            }
+            suspicion.next_ask = now + ASK_INTERVAL;
+            for voter in &holder.voters {
+                if voter.incarnation == own.incarnation {
+                    if self
+                        .ledger
+                        .refuse_lapsed(holder.incarnation, holder.term, now)
+                    {
+                        suspicion.refused.insert(voter.incarnation);
+                    }
+                    continue;
+                }
+                let ask = PeerDatagram::AskLapse {
+                    asker: own.incarnation,
+                    voter: voter.incarnation,
+                    holder: holder.incarnation,
+                    term: holder.term,
+                };
+                self.socket.send(voter.address, &ask);
+            }
+            let refused = holder
+                .voters
+                .iter()
+                .filter(|voter| suspicion.refused.contains(&voter.incarnation))
+                .count();
+            if !holder.voters.is_empty() && refused >= quorum_of(holder.voters.len()) {
+                suspicion.proven.get_or_insert(now);
+            }
+        }
+    }
+}
--- a/src/sidecar/owner.rs
+++ b/src/sidecar/owner.rs
@@ -164,7 +164,6 @@
         SlotDemand {
             kind: &order.class,
             rank: route.map_or(UNKNOWN_RANK, |route| route.rule.rank),
-            span: route.map_or(DEFAULT_DEADLINE, |route| route.rule.target),
             target: arrived + target,
             deadline,
         }
--- /dev/null
+++ b/src/sidecar/verdict.rs
@@ -0,0 +1,63 @@
+//! What a failed attempt means for the request: pure.
+
+use rand::RngExt;
+
+use crate::base::error::ErrorKind;
+use crate::base::error::RequestOutcome;
+use crate::delivery::message::OrderFailure;
+use std::time::Duration;
+
+/// When a caller is told to come back if its key has no owner.
+pub(super) const OWNER_RETRY: Duration = Duration::from_millis(400);
+
+/// Part of the time left after which a caller comes back to an overloaded
+/// service, at least and at most. Callers wait up to a third of it.
+const RETURN_PART: (f64, f64) = (0.2, 0.33);
+
+/// Tells whether the request reached an upstream, or may have.
+pub(super) fn was_offered(failure: &OrderFailure) -> bool {
+    matches!(
+        failure.kind,
+        ErrorKind::UpstreamRefused
+            | ErrorKind::UpstreamFailed
+            | ErrorKind::AnswerTruncated
+            | ErrorKind::ConnectionLost
+            | ErrorKind::DeadlineAfterStart
+    )
+}
+
+/// Tells whether the request went to a process that does not serve it now.
+pub(super) fn is_misplaced(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::NoOwner
+            | ErrorKind::NotOwner
+            | ErrorKind::OwnerUnreachable
+            | ErrorKind::Draining
+            | ErrorKind::LeaseLapsed
+    )
+}
+
+/// Tells a caller with `left` until its deadline when to come back, where the
+/// request has not run.
+///
+/// An overload lasts for seconds: a caller that comes back soon is refused
+/// again, and has a try less. It is sent away for the longest time after which
+/// its remaining tries still fit, spread so that callers do not return together.
+pub(super) fn with_retry(mut failure: OrderFailure, left: Duration) -> OrderFailure {
+    if failure.kind.answer().outcome != RequestOutcome::NotRun {
+        return failure;
+    }
+    let overloaded = matches!(
+        failure.kind,
+        ErrorKind::Overloaded | ErrorKind::DeadlineBeforeStart
+    );
+    if overloaded {
+        let part = rand::rng().random_range(RETURN_PART.0..RETURN_PART.1);
+        let told = failure.retry_after.unwrap_or_default();
+        failure.retry_after = Some(told.max(left.mul_f64(part)));
+    } else if failure.retry_after.is_none() {
+        failure.retry_after = Some(OWNER_RETRY);
+    }
+    failure
+}
