sidecar: a conflict never shows that a change of voters had no effect

Cause: found by reading. A write of new voters whose answer was lost may have taken effect; its repetition then conflicts, and the holder took the conflict as proof that the former voters still count, until it had read the newer map. Change: only a refusal settles the change, and only if no earlier write of it went without an answer; otherwise the map has to be read past its offset.

--- a/src/sidecar/dispatch.rs
+++ b/src/sidecar/dispatch.rs
@@ -5,6 +5,19 @@
 //! fleet's allowance. Waiting for the owner of a key is no attempt: nothing was
 //! sent.
 
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+use tokio_util::sync::CancellationToken;
+
 use super::allowance::RepeatAllowance;
 use super::fleet::FleetState;
 use super::links::CountedLink;
@@ -40,17 +53,6 @@
 use crate::transport::link::PeerLink;
 use crate::transport::link::RequestNumbers;
 use crate::transport::server::OrderHandler;
-use bytes::Bytes;
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
-use tokio::time::Instant;
-use tokio::time::timeout_at;
-use tokio_util::sync::CancellationToken;
 
 /// Time that the owner's verdict needs to come back before the entry gives up.
 const VERDICT_TIME: Duration = Duration::from_millis(25);
--- a/src/sidecar/keeper/changes.rs
+++ b/src/sidecar/keeper/changes.rs
@@ -1,7 +1,11 @@
 //! Which change of the map is due, and how it is written.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use super::KeeperEvent;
 use super::MapChange;
+use super::OpenVoters;
 use super::RangeKeeper;
 use crate::base::boot_clock::since_boot;
 use crate::base::ids::Offset;
@@ -17,12 +21,13 @@
 use crate::store::StoreError;
 use crate::store::StoreTopic;
 use crate::transport::datagram::encode_datagram;
-use std::net::SocketAddr;
-use std::time::Duration;
 
 /// Wait before a change of the map whose answer was lost is tried again.
 const RETRY_CHANGE: Duration = Duration::from_millis(200);
 
+/// Wait after a conflict, in which the newer map arrives.
+const AFTER_CONFLICT: Duration = Duration::from_millis(15);
+
 /// How long the writer of all changes has for a change before its owner writes
 /// it itself, and after which it is asked again.
 const WRITER_TIME: Duration = Duration::from_millis(150);
@@ -43,13 +48,10 @@
                 log::info!(edit = change.edit.name(), at = change.at, error:% = error; "ranges: the map was not written");
                 self.next_change = Some(now + RETRY_CHANGE);
                 if error == StoreError::Conflict {
-                    self.next_change = Some(now + Duration::from_millis(15));
+                    self.next_change = Some(now + AFTER_CONFLICT);
                     self.fleet.nudge_fleet.notify_waiters();
                 }
-                let certain = !matches!(error, StoreError::Unknown(_));
-                if certain && self.open_voters == Some(change.at) {
-                    self.settle_voters();
-                }
+                self.note_open_voters(change.at, &error);
                 if error != StoreError::Conflict {
                     self.store_failed = Some(now);
                 }
@@ -57,6 +59,23 @@
         }
     }
 
+    /// Takes the failure of a write at `at` into account, if a change of voters
+    /// is open there. Only a refusal shows that the change had no effect, and
+    /// only if no earlier write of it went without an answer: a conflict may be
+    /// that earlier write.
+    fn note_open_voters(&mut self, at: Offset, error: &StoreError) {
+        let Some(open) = self.open_voters.as_mut().filter(|open| open.at == at) else {
+            return;
+        };
+        match error {
+            StoreError::Unknown(_) | StoreError::Conflict | StoreError::Expired => {
+                open.uncertain = true;
+            }
+            StoreError::Refused(_) if open.uncertain => {}
+            StoreError::Refused(_) => self.settle_voters(),
+        }
+    }
+
     /// Tells the others what this process changed, so that they need not read
     /// the store. A change too large for a datagram shows in the reports.
     pub(super) fn tell_change(&self, base: Offset, at: Offset, edit: MapEdit) {
@@ -122,7 +141,11 @@
                 if let Some(lease) = &mut self.lease {
                     lease.freeze(now);
                 }
-                self.open_voters = Some(change.at);
+                let known = self.open_voters.filter(|open| open.at == change.at);
+                self.open_voters = known.or(Some(OpenVoters {
+                    at: change.at,
+                    uncertain: false,
+                }));
             }
             MapEdit::Adopt { .. }
             | MapEdit::Assign { .. }
--- a/src/sidecar/keeper/gate.rs
+++ b/src/sidecar/keeper/gate.rs
@@ -1,15 +1,17 @@
 //! What the request path asks about ranges.
 
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use arc_swap::ArcSwap;
+use tokio::sync::Notify;
+
 use crate::base::boot_clock::since_boot;
 use crate::ranges::RangeKey;
 use crate::ranges::heat::KeyHeat;
 use crate::ranges::holdings::KeyAdmission;
 use crate::ranges::holdings::RangeHoldings;
-use arc_swap::ArcSwap;
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
-use tokio::sync::Notify;
 
 /// What the request path asks about ranges. Cloning shares it.
 #[derive(Debug, Clone, Default)]
--- a/src/sidecar/keeper/giving.rs
+++ b/src/sidecar/keeper/giving.rs
@@ -1,5 +1,8 @@
 //! Planned moves: what this process gives away, to whom, and when.
 
+use std::sync::PoisonError;
+use std::time::Duration;
+
 use super::KeeperEvent;
 use super::RangeKeeper;
 use crate::base::ids::Incarnation;
@@ -16,8 +19,6 @@
 use crate::sidecar::upstream::LocalUpstream;
 use crate::sidecar::upstream::UpstreamPort;
 use crate::store::StateStore;
-use std::sync::PoisonError;
-use std::time::Duration;
 
 /// A store that failed counts as away for so long: no move for load begins,
 /// since its keys would be closed until it can be written.
--- a/src/sidecar/keeper/mod.rs
+++ b/src/sidecar/keeper/mod.rs
@@ -12,6 +12,13 @@
 mod sight;
 mod suspects;
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
 use crate::admission::slot_queue::SlotQueue;
 use crate::base::boot_clock::since_boot;
 use crate::base::collections::FastMap;
@@ -41,11 +48,6 @@
 use crate::store::StateStore;
 use crate::store::StoreError;
 use crate::transport::datagram::DatagramSocket;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
-use tokio::sync::mpsc;
-use tokio::sync::watch;
 
 pub use self::gate::RangeGate;
 
@@ -84,6 +86,16 @@
     pub at: Offset,
 }
 
+/// A change of this holder's voters that may still take effect.
+#[derive(Debug, Clone, Copy)]
+struct OpenVoters {
+    /// The offset that its record would have.
+    at: Offset,
+    /// Whether a write of it went without a clear answer.
+    uncertain: bool,
+}
+
+/// A holder that has fallen silent, and what its voters say of it.
 #[derive(Debug, Default)]
 struct LapseSuspicion {
     term: Offset,
@@ -124,9 +136,9 @@
     /// under way.
     #[builder(skip = Some(Duration::ZERO))]
     next_change: Option<Duration>,
-    /// Offset at which a change of the voters may still take effect.
+    /// A change of the voters that may still take effect.
     #[builder(skip)]
-    open_voters: Option<Offset>,
+    open_voters: Option<OpenVoters>,
     /// When the writer of all changes was asked for the finished move.
     #[builder(skip)]
     asked_writer: Option<Duration>,
@@ -331,7 +343,7 @@
             self.suspicions
                 .retain(|suspect, _| view.map.holder(*suspect).is_some());
         }
-        if self.open_voters.is_some_and(|at| end > at) {
+        if self.open_voters.is_some_and(|open| end > open.at) {
             self.settle_voters();
         }
     }
--- a/src/sidecar/keeper/sight.rs
+++ b/src/sidecar/keeper/sight.rs
@@ -1,5 +1,7 @@
 //! What the keeper sees of the fleet: who may own ranges, and who votes.
 
+use std::time::Duration;
+
 use super::RangeKeeper;
 use crate::base::hash::pair_score;
 use crate::base::ids::Incarnation;
@@ -11,7 +13,6 @@
 use crate::ranges::map::RangeVoter;
 use crate::sidecar::upstream::UpstreamPort;
 use crate::store::StateStore;
-use std::time::Duration;
 
 /// How long a process waits for its peers' first reports before it names
 /// voters among fewer than it would like.
--- a/src/sidecar/keeper/suspects.rs
+++ b/src/sidecar/keeper/suspects.rs
@@ -1,5 +1,7 @@
 //! Holders that have fallen silent: their voters are asked whether they lapsed.
 
+use std::time::Duration;
+
 use super::LapseSuspicion;
 use super::RangeKeeper;
 use crate::peers::message::PeerDatagram;
@@ -8,7 +10,6 @@
 use crate::ranges::map::RangeHolder;
 use crate::sidecar::upstream::UpstreamPort;
 use crate::store::StateStore;
-use std::time::Duration;
 
 /// Time between two asks whether a holder has lapsed.
 const ASK_INTERVAL: Duration = Duration::from_millis(150);
--- a/src/sidecar/links.rs
+++ b/src/sidecar/links.rs
@@ -1,9 +1,5 @@
 //! Links to other processes, with what this entry knows of the load there.
 
-use crate::admission::load::OwnerLoad;
-use crate::base::boot_clock::since_boot;
-use crate::placement::PlacementCandidate;
-use crate::transport::link::PeerLink;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -12,6 +8,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use crate::admission::load::OwnerLoad;
+use crate::base::boot_clock::since_boot;
+use crate::placement::PlacementCandidate;
+use crate::transport::link::PeerLink;
+
 /// A link to another process, with the requests that this entry has there.
 #[derive(Debug, Clone)]
 pub(super) struct CountedLink {
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -26,8 +26,6 @@
     pub announce_interval: Duration,
     /// How long the process may take to leave.
     pub grace: Duration,
-    /// How long requests may still be sent to an upstream that is leaving.
-    pub drain: Duration,
     /// Longest hold of a grant.
     pub longest_hold: Duration,
     /// How many repeats the fleet may send.
--- a/src/sidecar/verdict.rs
+++ b/src/sidecar/verdict.rs
@@ -1,11 +1,12 @@
 //! What a failed attempt means for the request: pure.
 
+use std::time::Duration;
+
 use rand::RngExt;
 
 use crate::base::error::ErrorKind;
 use crate::base::error::RequestOutcome;
 use crate::delivery::message::OrderFailure;
-use std::time::Duration;
 
 /// When a caller is told to come back if its key has no owner.
 pub(super) const OWNER_RETRY: Duration = Duration::from_millis(400);
--- a/tests/testsuite/mesh_path.rs
+++ b/tests/testsuite/mesh_path.rs
@@ -39,7 +39,7 @@
             "listen": {"outbound": self.at(0), "readiness": self.at(1), "control": self.at(2)},
             "portRange": [self.base + 4, self.base + 5], "app": self.at(3),
             "bounds": {
-                "drain": "2s", "grace": "3s", "holdMax": "10s", "retryBudgetRatio": 0.2,
+                "grace": "3s", "holdMax": "10s", "retryBudgetRatio": 0.2,
                 "budgetWindow": "10s", "budgetSlack": 60,
             },
             "platform": {"address": store},
