sidecar: remember a departure that is heard before the upstream is known

Change: departures are remembered by name; an older notice under that name counts as leaving. A later life is told by its birth or its first numbers. The test failed before.

--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -3,8 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use tokio::sync::watch;
 
@@ -96,11 +99,37 @@
     (silent || !older).then(|| merged(life + 1))
 }
 
+/// Departures that are remembered: a VM has one upstream at a time.
+const MOST_DEPARTED: usize = 8;
+
+/// A later life under the same name begins with small numbers.
+const FIRST_NUMBERS: u64 = 2;
+
+/// An upstream that said that it leaves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DepartedUpstream {
+    /// Its name.
+    pub instance: InstanceId,
+    /// When it said so, in milliseconds since the Unix epoch.
+    pub at: u64,
+}
+
+/// Tells whether a notice comes from a life that said that it leaves, and was
+/// held up since. A process that has just started may hear the departure first.
+pub fn is_departed(departed: &[DepartedUpstream], notice: &UpstreamNotice) -> bool {
+    departed.iter().any(|former| {
+        let later_life = notice.born.is_some_and(|born| born > former.at);
+        let begins = later_life || notice.number <= FIRST_NUMBERS;
+        former.instance == notice.instance && !begins
+    })
+}
+
 /// Keeps what is known of the upstream. Cloning shares it.
 #[derive(Debug, Clone)]
 pub struct LocalRegistry {
     published: Arc<watch::Sender<Option<LocalUpstream>>>,
     silence: Duration,
+    departed: Arc<Mutex<Vec<DepartedUpstream>>>,
     last_logged: Arc<Mutex<Option<(InstanceId, UpstreamPhase)>>>,
 }
 
@@ -111,6 +140,7 @@
         Self {
             published: Arc::new(watch::channel(None).0),
             silence: interval * MISSED_ANNOUNCEMENTS,
+            departed: Arc::default(),
             last_logged: Arc::default(),
         }
     }
@@ -128,6 +158,11 @@
     /// Takes a notice.
     pub fn announce(&self, notice: &UpstreamNotice) {
         let now = since_boot();
+        let departed = is_departed(&self.departed(), notice);
+        let notice = &UpstreamNotice {
+            draining: notice.draining || departed,
+            ..notice.clone()
+        };
         self.published.send_if_modified(|known| {
             let Some(merged) = merge_notice(known.as_ref(), notice, now, self.silence) else {
                 return false;
@@ -147,6 +182,7 @@
 
     /// The upstream says that it leaves; it still finishes what it has.
     pub fn leave(&self, instance: &str) {
+        self.remember_departure(instance);
         self.published.send_if_modified(|known| match known {
             Some(known) if &*known.notice.instance == instance => {
                 let news = known.phase != UpstreamPhase::Draining;
@@ -158,6 +194,23 @@
         self.log_change("deregistered");
     }
 
+    fn remember_departure(&self, instance: &str) {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let mut departed = self.departed();
+        departed.retain(|former| &*former.instance != instance);
+        if departed.len() == MOST_DEPARTED {
+            departed.remove(0);
+        }
+        departed.push(DepartedUpstream {
+            instance: instance.into(),
+            at: since_epoch.unwrap_or_default().as_millis() as u64,
+        });
+    }
+
+    fn departed(&self) -> MutexGuard<'_, Vec<DepartedUpstream>> {
+        self.departed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// A connection to the upstream was refused: it has ended.
     pub fn note_refused(&self, life: u64) {
         self.published.send_if_modified(|known| match known {
--- a/tests/testsuite/mesh_upstream.rs
+++ b/tests/testsuite/mesh_upstream.rs
@@ -110,3 +110,27 @@
         Some(UpstreamPhase::Draining)
     );
 }
+
+/// Replays a process that restarts while its upstream leaves: it hears the
+/// departure first and then a notice that was held up.
+#[tokio::test]
+async fn a_departure_counts_also_before_the_upstream_is_known() {
+    let registry = LocalRegistry::new(Duration::from_secs(1));
+    registry.leave("a");
+
+    registry.announce(&notice("a", 100, 20));
+
+    let known = registry.current().expect("known");
+    assert_eq!(known.phase, UpstreamPhase::Draining);
+}
+
+#[tokio::test]
+async fn a_later_life_under_a_departed_name_takes_requests() {
+    let registry = LocalRegistry::new(Duration::from_secs(1));
+    registry.leave("a");
+
+    registry.announce(&notice("a", 100, 1));
+
+    let known = registry.current().expect("known");
+    assert_eq!(known.phase, UpstreamPhase::Ready);
+}
