--- a/src/sidecar/dispatch.rs
+++ b/src/sidecar/dispatch.rs
@@ -151,7 +151,6 @@
     numbers: RequestNumbers,
     links: Mutex<FastMap<Incarnation, CountedLink>>,
     allowances: Mutex<FastMap<ServiceName, RepeatAllowance>>,
-    here: Arc<AtomicU32>,
     active: Arc<AtomicU32>,
     last_arrival: Mutex<Instant>,
 }
@@ -173,7 +172,6 @@
             numbers: RequestNumbers::default(),
             links: Mutex::default(),
             allowances: Mutex::default(),
-            here: Arc::default(),
             active: Arc::default(),
             last_arrival: Mutex::new(Instant::now()),
         };
@@ -369,10 +367,7 @@
             body: planned.request.body.clone(),
         };
         match target {
-            OrderTarget::Here => {
-                let _flight = FlightGuard::new(&self.shared.here);
-                self.owner.handle(order, CancellationToken::new()).await
-            }
+            OrderTarget::Here => self.owner.handle(order, CancellationToken::new()).await,
             OrderTarget::Peer(peer) => self.attempt_peer(planned, peer, order).await,
         }
     }
--- a/src/sidecar/owner.rs
+++ b/src/sidecar/owner.rs
@@ -69,11 +69,6 @@
 }
 
 impl<U: UpstreamPort> SidecarOwner<U> {
-    /// Returns the queue of the upstream.
-    pub fn slots(&self) -> &SlotQueue {
-        &self.slots
-    }
-
     /// The process ends at `stops_at`: requests that might outlast it are
     /// refused, so that none is cut off.
     pub fn stop_at(&self, stops_at: Instant) {
