admission, declarations, log, winchctl: remove the five import circles

Cause: two modules of each pair named each other, so neither could be read or moved alone. The shared part moves below both (PlacedDeclaration, the log's settings, the shared arguments), the reader speaks to its follower through a trait, and the permit joins the actor that hands it out.

--- a/src/admission/actor.rs
+++ b/src/admission/actor.rs
@@ -1,8 +1,10 @@
 //! The one actor of a process that hands out its upstream's slots.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::task::Waker;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -23,7 +25,6 @@
 use super::load::ClassTag;
 use super::load::OwnerLoad;
 use super::load::class_tag;
-use super::permit::SlotPermit;
 use super::rate_meter::RateMeter;
 use super::scheduler::ClassIndex;
 use super::scheduler::PriorityScheduler;
@@ -72,10 +73,10 @@
 
 /// Gives a slot back.
 #[derive(Debug)]
-pub(super) struct ReleaseSlot {
-    pub(super) class: ClassTag,
-    pub(super) held: Duration,
-    pub(super) verdict: SlotVerdict,
+struct ReleaseSlot {
+    class: ClassTag,
+    held: Duration,
+    verdict: SlotVerdict,
 }
 
 /// Tells what the upstream announced.
@@ -294,6 +295,58 @@
         .collect()
 }
 
+/// The right to occupy one slot; given back when dropped.
+#[derive(Debug)]
+pub struct SlotPermit {
+    actor: WeakAddress<AdmissionActor>,
+    class: ClassTag,
+    since: Instant,
+    verdict: SlotVerdict,
+}
+
+impl SlotPermit {
+    /// Creates the permit of a class.
+    fn new(actor: WeakAddress<AdmissionActor>, class: ClassTag) -> Self {
+        Self {
+            actor,
+            class,
+            since: Instant::now(),
+            verdict: SlotVerdict::Unused,
+        }
+    }
+
+    /// Notes that the slot is used from now on; without a later verdict, its
+    /// request counts as lost.
+    pub fn begin(&mut self) {
+        self.since = Instant::now();
+        self.verdict = SlotVerdict::Lost;
+    }
+
+    /// Gives the slot back.
+    pub fn finish(mut self, verdict: SlotVerdict) {
+        self.verdict = verdict;
+    }
+}
+
+impl Drop for SlotPermit {
+    fn drop(&mut self) {
+        let release = ReleaseSlot {
+            class: self.class,
+            held: self.since.elapsed(),
+            verdict: self.verdict,
+        };
+        let mut sending = Box::pin(self.actor.send(release).detach());
+        let mut context = std::task::Context::from_waker(Waker::noop());
+        // The mailbox takes the message at once unless it is full.
+        let polled = Pin::new(&mut sending).poll(&mut context);
+        if polled.is_pending() {
+            tokio::spawn(async move {
+                let _gone = sending.await.is_err();
+            });
+        }
+    }
+}
+
 /// Hands out the slots of the process's upstream.
 #[derive(Debug, Clone)]
 pub struct AdmissionQueue {
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -15,7 +15,6 @@
 pub mod failing;
 pub mod limit;
 pub mod load;
-pub mod permit;
 pub mod rate_meter;
 pub mod scheduler;
 pub mod slot_queue;
--- a/src/bin/winchctl/commands/apply.rs
+++ b/src/bin/winchctl/commands/apply.rs
@@ -7,7 +7,7 @@
 use buckthornwinch::operator::client::apply::apply;
 use clap::Args;
 
-use crate::cli::SharedArgs;
+use crate::shared_args::SharedArgs;
 
 /// Arguments of `winchctl apply`.
 #[derive(Debug)]
--- a/src/bin/winchctl/commands/ask.rs
+++ b/src/bin/winchctl/commands/ask.rs
@@ -4,7 +4,7 @@
 use buckthornwinch::operator::client::ask::ask;
 use clap::Args;
 
-use crate::cli::SharedArgs;
+use crate::shared_args::SharedArgs;
 
 /// Arguments of `winchctl ask`.
 #[derive(Debug)]
--- a/src/bin/winchctl/commands/declare_lost.rs
+++ b/src/bin/winchctl/commands/declare_lost.rs
@@ -7,7 +7,7 @@
 use buckthornwinch::operator::client::report::read_incarnation;
 use clap::Args;
 
-use crate::cli::SharedArgs;
+use crate::shared_args::SharedArgs;
 
 /// Arguments of `winchctl declare-lost`.
 #[derive(Debug)]
--- a/src/bin/winchctl/commands/diff.rs
+++ b/src/bin/winchctl/commands/diff.rs
@@ -7,7 +7,7 @@
 use buckthornwinch::operator::client::diff::diff;
 use clap::Args;
 
-use crate::cli::SharedArgs;
+use crate::shared_args::SharedArgs;
 
 /// Arguments of `winchctl diff`.
 #[derive(Debug)]
--- a/src/bin/winchctl/commands/explain.rs
+++ b/src/bin/winchctl/commands/explain.rs
@@ -5,7 +5,7 @@
 use buckthornwinch::operator::client::explain::explain;
 use clap::Args;
 
-use crate::cli::SharedArgs;
+use crate::shared_args::SharedArgs;
 
 /// Arguments of `winchctl explain`.
 #[derive(Debug)]
--- a/src/bin/winchctl/commands/get.rs
+++ b/src/bin/winchctl/commands/get.rs
@@ -6,7 +6,7 @@
 use buckthornwinch::operator::client::get::get;
 use clap::Args;
 
-use crate::cli::SharedArgs;
+use crate::shared_args::SharedArgs;
 
 /// Arguments of `winchctl get`.
 #[derive(Debug)]
--- a/src/bin/winchctl/commands/mod.rs
+++ b/src/bin/winchctl/commands/mod.rs
@@ -14,7 +14,7 @@
 use buckthornwinch::operator::client::ExitKind;
 use clap::Subcommand;
 
-use crate::cli::Cli;
+use crate::shared_args::SharedArgs;
 
 /// A subcommand.
 #[derive(Debug)]
@@ -43,9 +43,8 @@
 }
 
 /// Runs a subcommand and returns its exit code.
-pub async fn exec(cli: Cli) -> eyre::Result<ExitKind> {
-    let shared = &cli.shared;
-    match cli.command {
+pub async fn exec(shared: &SharedArgs, command: Command) -> eyre::Result<ExitKind> {
+    match command {
         Command::Validate(args) => validate::exec(shared, args),
         Command::Diff(args) => diff::exec(shared, args).await,
         Command::Apply(args) => apply::exec(shared, args).await,
--- a/src/bin/winchctl/commands/status.rs
+++ b/src/bin/winchctl/commands/status.rs
@@ -5,7 +5,7 @@
 use buckthornwinch::operator::client::status::status;
 use clap::Args;
 
-use crate::cli::SharedArgs;
+use crate::shared_args::SharedArgs;
 
 /// Arguments of `winchctl status`.
 #[derive(Debug)]
--- a/src/bin/winchctl/commands/validate.rs
+++ b/src/bin/winchctl/commands/validate.rs
@@ -7,7 +7,7 @@
 use buckthornwinch::operator::client::validate::validate;
 use clap::Args;
 
-use crate::cli::SharedArgs;
+use crate::shared_args::SharedArgs;
 
 /// Arguments of `winchctl validate`.
 #[derive(Debug)]
--- a/src/bin/winchctl/main.rs
+++ b/src/bin/winchctl/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod commands;
+mod shared_args;
 
 use std::process::ExitCode;
 
@@ -13,7 +14,7 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
     let cli = Cli::parse();
-    let kind = match commands::exec(cli).await {
+    let kind = match commands::exec(&cli.shared, cli.command).await {
         Ok(kind) => kind,
         Err(error) => {
             eprintln!("{error:#}");
--- a/src/declarations/check.rs
+++ b/src/declarations/check.rs
@@ -4,7 +4,7 @@
 use super::Declaration;
 use super::RuleDeclaration;
 use super::fields::MOST_SLICES;
-use super::set::PlacedDeclaration;
+use super::placed::PlacedDeclaration;
 use crate::base::collections::FastSet;
 use crate::base::document::DocumentFault;
 
--- a/src/declarations/mod.rs
+++ b/src/declarations/mod.rs
@@ -12,6 +12,7 @@
 pub mod check;
 pub mod document;
 pub mod fields;
+pub mod placed;
 pub mod set;
 
 use std::fmt;
--- a/src/declarations/set.rs
+++ b/src/declarations/set.rs
@@ -7,23 +7,14 @@
 use serde::Deserialize;
 use serde_norway::Value;
 
-use super::Declaration;
 use super::ObjectKey;
 use super::check::check_together;
 use super::document::read_declaration;
+use super::placed::PlacedDeclaration;
 use crate::base::collections::FastMap;
 use crate::base::document::DocumentFault;
 use crate::base::document::report_faults;
 
-/// A declaration with the file and document that it stands in.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PlacedDeclaration {
-    /// The file, with the number of the document where it has several.
-    pub place: Box<str>,
-    /// The declaration.
-    pub declaration: Declaration,
-}
-
 /// Declarations whose every document is sound.
 ///
 /// They need not fit each other: a set may add to what is declared already.
--- a/src/log/follower.rs
+++ b/src/log/follower.rs
@@ -6,7 +6,6 @@
 //! from a peer.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -15,11 +14,14 @@
 use xtra::Context;
 use xtra::Handler;
 use xtra::Mailbox;
+use xtra::WeakAddress;
 
 use super::reader::LogReader;
+use super::reader::PageSink;
 use super::service::LogEntry;
 use super::service::LogPage;
 use super::service::LogService;
+use super::settings::FollowerSettings;
 use super::snapshots::SnapshotStatus;
 use super::snapshots::SnapshotTracker;
 use crate::base::collections::FastMap;
@@ -33,30 +35,6 @@
 /// Messages that may wait for the follower.
 const MAILBOX_CAPACITY: usize = 64;
 
-/// How the log is followed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(bon::Builder)]
-pub struct FollowerSettings {
-    /// Entries that one read asks for.
-    #[builder(default = 128)]
-    pub page_limit: usize,
-    /// Least time between reads that found nothing.
-    #[builder(default = Duration::from_secs(1))]
-    pub poll_interval: Duration,
-    /// Longest wait after the first failed read.
-    #[builder(default = Duration::from_millis(100))]
-    pub retry_base: Duration,
-    /// Longest wait after any failed read.
-    #[builder(default = Duration::from_secs(2))]
-    pub retry_limit: Duration,
-}
-
-impl Default for FollowerSettings {
-    fn default() -> Self {
-        Self::builder().build()
-    }
-}
-
 /// What the follower has counted.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct FollowerCounters {
@@ -82,11 +60,11 @@
 
 /// Folds a page; answers with the next offset to read.
 #[derive(Debug)]
-pub(super) struct FoldPage(pub(super) LogPage);
+struct FoldPage(LogPage);
 
 /// Takes a state if it is newer; tells whether it was taken.
 #[derive(Debug)]
-pub(super) struct InstallState(pub(super) FoldedState);
+struct InstallState(FoldedState);
 
 #[derive(Debug)]
 struct AwaitEffects {
@@ -245,6 +223,19 @@
     }
 }
 
+impl PageSink for WeakAddress<LogFollower> {
+    async fn fold(&self, page: LogPage) -> Option<Offset> {
+        self.try_upgrade()?.send(FoldPage(page)).await.ok()
+    }
+
+    async fn install(&self, state: FoldedState) {
+        if let Some(follower) = self.try_upgrade() {
+            // An ended follower ends the reader at its next page.
+            let _ = follower.send(InstallState(state)).await;
+        }
+    }
+}
+
 impl Handler<FoldPage> for LogFollower {
     type Return = Offset;
 
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -23,6 +23,7 @@
 mod reader;
 pub mod search;
 pub mod service;
+pub mod settings;
 pub mod snapshot_keeper;
 pub mod snapshots;
 pub mod split;
--- a/src/log/reader.rs
+++ b/src/log/reader.rs
@@ -7,34 +7,41 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::timeout;
-use xtra::WeakAddress;
 
 use super::backoff::RetryBackoff;
-use super::follower::FoldPage;
-use super::follower::FollowerSettings;
-use super::follower::InstallState;
-use super::follower::LogFollower;
 use super::search::find_snapshot;
 use super::service::LogError;
 use super::service::LogPage;
 use super::service::LogService;
+use super::settings::FollowerSettings;
 use crate::base::ids::Offset;
+use crate::state::folded::FoldedState;
+
+/// Takes what a reader has read.
+pub(super) trait PageSink: Send + Sync + 'static {
+    /// Folds a page and returns the next offset to read; none if nobody folds
+    /// any more.
+    fn fold(&self, page: LogPage) -> impl Future<Output = Option<Offset>> + Send;
+
+    /// Takes a state if it is newer than what was folded.
+    fn install(&self, state: FoldedState) -> impl Future<Output = ()> + Send;
+}
 
 /// Reads a log until its follower is gone.
 #[derive(Debug)]
-pub(super) struct LogReader<L> {
+pub(super) struct LogReader<L, F> {
     log: L,
-    follower: WeakAddress<LogFollower>,
+    follower: F,
     nudge: Arc<Notify>,
     reachable: watch::Sender<bool>,
     settings: FollowerSettings,
     backoff: RetryBackoff,
 }
 
-impl<L: LogService> LogReader<L> {
+impl<L: LogService, F: PageSink> LogReader<L, F> {
     pub(super) fn new(
         log: L,
-        follower: WeakAddress<LogFollower>,
+        follower: F,
         nudge: Arc<Notify>,
         reachable: watch::Sender<bool>,
         settings: FollowerSettings,
@@ -64,7 +71,7 @@
                 entries: Vec::new(),
                 end: next,
             });
-            let Some(folded) = self.fold(page).await else {
+            let Some(folded) = self.follower.fold(page).await else {
                 return;
             };
             next = folded;
@@ -73,12 +80,6 @@
         }
     }
 
-    /// Folds a page and returns the next offset; none when the follower ended.
-    async fn fold(&self, page: LogPage) -> Option<Offset> {
-        let follower = self.follower.try_upgrade()?;
-        follower.send(FoldPage(page)).await.ok()
-    }
-
     /// Hands the newest whole snapshot to the follower.
     async fn start_from_snapshot(&self, earliest: Offset) {
         match find_snapshot(&self.log, earliest, self.settings.page_limit).await {
@@ -87,10 +88,7 @@
                     "log: starts from the snapshot through offset {}",
                     state.next
                 );
-                if let Some(follower) = self.follower.try_upgrade() {
-                    // An ended follower ends the reader at its next page.
-                    let _ = follower.send(InstallState(state)).await;
-                }
+                self.follower.install(state).await;
             }
             Ok(None) => log::error!("log: keeps no whole snapshot after offset {earliest}"),
             Err(error) => log::warn!("log: cannot search for a snapshot: {error:?}"),
--- a/src/log/writer.rs
+++ b/src/log/writer.rs
@@ -15,54 +15,18 @@
 use super::batch::AppendError;
 use super::follower::FollowerHandle;
 use super::service::LogService;
+use super::settings::BATCH_OVERHEAD_BYTES;
+use super::settings::WriterSettings;
 use super::split::group_by_size;
 use super::writer_actor::Append;
 use super::writer_actor::LogWriter;
 use crate::base::ids::Incarnation;
-use crate::state::codec::MAX_ENTRY_BYTES;
 use crate::state::effect::FoldEffect;
 use crate::state::record::LogRecord;
 
 /// Messages that may wait for the writer.
 const MAILBOX_CAPACITY: usize = 256;
 
-/// Bytes of an entry that are kept for the batch around its records.
-pub(super) const BATCH_OVERHEAD_BYTES: usize = 64;
-
-/// How records are appended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(bon::Builder)]
-pub struct WriterSettings {
-    /// Largest batch, in bytes.
-    #[builder(default = MAX_ENTRY_BYTES)]
-    pub batch_bytes: usize,
-    /// Appends that may wait.
-    #[builder(default = 256)]
-    pub waiting_limit: usize,
-    /// Batches a second.
-    #[builder(default = 20)]
-    pub rate: u32,
-    /// Batches that may follow each other at once.
-    #[builder(default = 20)]
-    pub burst: u32,
-    /// How long the follower may take to fold what the log has taken, before
-    /// the batch is appended again.
-    #[builder(default = Duration::from_secs(5))]
-    pub fold_timeout: Duration,
-    /// Longest wait after the first failed attempt.
-    #[builder(default = Duration::from_millis(50))]
-    pub retry_base: Duration,
-    /// Longest wait after any failed attempt.
-    #[builder(default = Duration::from_secs(2))]
-    pub retry_limit: Duration,
-}
-
-impl Default for WriterSettings {
-    fn default() -> Self {
-        Self::builder().build()
-    }
-}
-
 /// Starts the writer of a new incarnation, which has appended nothing yet.
 pub fn start_writer<L: LogService>(
     log: L,
--- a/src/operator/client/plan.rs
+++ b/src/operator/client/plan.rs
@@ -12,8 +12,8 @@
 use crate::declarations::ObjectKey;
 use crate::declarations::check::check_together;
 use crate::declarations::document::write_declaration;
+use crate::declarations::placed::PlacedDeclaration;
 use crate::declarations::set::DeclarationSet;
-use crate::declarations::set::PlacedDeclaration;
 use crate::operator::convert::declaration_from_api;
 use crate::operator::convert::key_from_api;
 
--- a/src/operator/client/validate.rs
+++ b/src/operator/client/validate.rs
@@ -30,7 +30,7 @@
     let set = DeclarationSet::load(&options.paths)?;
     set.check_complete()?;
     let count = |kind| {
-        let of_kind = |item: &&crate::declarations::set::PlacedDeclaration| {
+        let of_kind = |item: &&crate::declarations::placed::PlacedDeclaration| {
             item.declaration.key().kind == kind
         };
         (kind, set.placed.iter().filter(of_kind).count())
--- a/src/operator/judge.rs
+++ b/src/operator/judge.rs
@@ -12,7 +12,7 @@
 use crate::declarations::ObjectKey;
 use crate::declarations::check::check_together;
 use crate::declarations::document::check_declaration;
-use crate::declarations::set::PlacedDeclaration;
+use crate::declarations::placed::PlacedDeclaration;
 use crate::state::folded::FoldedState;
 use crate::state::record::ChangeRecord;
 
--- a/tests/testsuite/log_client.rs
+++ b/tests/testsuite/log_client.rs
@@ -4,14 +4,14 @@
 
 use buckthornwinch::log::batch::AppendError;
 use buckthornwinch::log::follower::FollowerHandle;
-use buckthornwinch::log::follower::FollowerSettings;
 use buckthornwinch::log::follower::start_follower;
 use buckthornwinch::log::http::HttpLogService;
 use buckthornwinch::log::http::HttpLogSettings;
 use buckthornwinch::log::service::LogError;
 use buckthornwinch::log::service::LogService;
+use buckthornwinch::log::settings::FollowerSettings;
+use buckthornwinch::log::settings::WriterSettings;
 use buckthornwinch::log::writer::WriterHandle;
-use buckthornwinch::log::writer::WriterSettings;
 use buckthornwinch::log::writer::start_writer;
 use buckthornwinch::state::codec::MAX_ENTRY_BYTES;
 use buckthornwinch::state::codec::encode_batch;
--- a/tests/testsuite/snapshot.rs
+++ b/tests/testsuite/snapshot.rs
@@ -4,11 +4,11 @@
 
 use buckthornwinch::base::ids::Offset;
 use buckthornwinch::log::follower::FollowerHandle;
-use buckthornwinch::log::follower::FollowerSettings;
 use buckthornwinch::log::follower::start_follower;
+use buckthornwinch::log::settings::FollowerSettings;
+use buckthornwinch::log::settings::WriterSettings;
 use buckthornwinch::log::snapshot_keeper::SnapshotKeeper;
 use buckthornwinch::log::writer::WriterHandle;
-use buckthornwinch::log::writer::WriterSettings;
 use buckthornwinch::log::writer::start_writer;
 use buckthornwinch::state::codec::encode_batch;
 use buckthornwinch::state::folded::FoldedState;
