transport: answer on every open connection of an entry

Cause: a connection attempt that its entry has given up can arrive after its successor, when a link delivers what it has held back; the owner then sent all answers on the late one, while pings kept the good one alive. Now an answer goes out on every open connection of the entry, which drops what it does not wait for. Test: a_late_connection_takes_no_answers (failed before).

--- a/crates/winch-bench/src/fleet/process.rs
+++ b/crates/winch-bench/src/fleet/process.rs
@@ -28,6 +28,8 @@
     Kill,
     /// Asks the process to leave.
     Terminate,
+    /// Asks the process to read its settings again.
+    Hangup,
     /// Freezes the process.
     Stop,
     /// Lets a frozen process go on.
@@ -39,6 +41,7 @@
         match self {
             Self::Kill => "-KILL",
             Self::Terminate => "-TERM",
+            Self::Hangup => "-HUP",
             Self::Stop => "-STOP",
             Self::Continue => "-CONT",
         }
--- /dev/null
+++ b/crates/winch-soak/src/commands/mod.rs
@@ -0,0 +1,4 @@
+//! The subcommands, one a module.
+
+pub(crate) mod plan;
+pub(crate) mod run;
--- /dev/null
+++ b/crates/winch-soak/src/commands/run.rs
@@ -0,0 +1,116 @@
+//! `winch-soak run`.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Args;
+use comfy_table::Table;
+use eyre::WrapErr;
+use winch_bench::fleet::process::sibling_program;
+use winch_soak::run::SoakReport;
+use winch_soak::run::SoakSettings;
+use winch_soak::run::run_soak;
+
+/// Violations of a seed that are printed; its directory has them all.
+const PRINTED: usize = 5;
+
+/// Arguments of `run`.
+#[derive(Debug)]
+#[derive(Args)]
+pub(crate) struct RunArgs {
+    /// First seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Number of seeds from the first on
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Number of machines
+    #[arg(long, default_value_t = 5)]
+    machines: u8,
+    /// Number of series of faults
+    #[arg(long, default_value_t = 3)]
+    series: usize,
+    /// Callers of each machine
+    #[arg(long, default_value_t = 3)]
+    callers: u32,
+    /// The sidecar's program; the one beside this if not named
+    #[arg(long)]
+    sidecar: Option<PathBuf>,
+    /// Where plan, logs and violations of failing seeds are kept
+    #[arg(long, default_value = "soak-results")]
+    keep: PathBuf,
+}
+
+/// Runs seeds one after the other. Ends non-zero if a promise was broken.
+pub(crate) async fn exec(args: RunArgs) -> eyre::Result<ExitCode> {
+    let sidecar = match &args.sidecar {
+        Some(program) => program.clone(),
+        None => sibling_program("winch-sidecar")?,
+    };
+    let mut table = Table::new();
+    table.set_header([
+        "seed",
+        "served",
+        "refused",
+        "failed",
+        "unanswered",
+        "longest recovery",
+        "violations",
+    ]);
+    let mut code = ExitCode::SUCCESS;
+    for seed in args.seed..args.seed.saturating_add(args.seeds) {
+        let directory = tempfile::tempdir().wrap_err("cannot make a directory")?;
+        let settings = SoakSettings::builder()
+            .seed(seed)
+            .machines(args.machines)
+            .series(args.series)
+            .callers(args.callers)
+            .sidecar(sidecar.clone())
+            .directory(directory.path().into())
+            .build();
+        let report = run_soak(&settings).await?;
+        add_row(&mut table, seed, &report);
+        if !report.violations.is_empty() {
+            code = ExitCode::FAILURE;
+            let kept = args.keep.join(format!("seed-{seed}"));
+            keep_failure(directory.path(), &kept, &report)?;
+            eprintln!(
+                "seed {seed}: {} violations, kept in {}",
+                report.violations.len(),
+                kept.display()
+            );
+            for violation in report.violations.iter().take(PRINTED) {
+                eprintln!("  {violation}");
+            }
+        }
+    }
+    println!("{table}");
+    Ok(code)
+}
+
+fn add_row(table: &mut Table, seed: u64, report: &SoakReport) {
+    let counts = report.counts;
+    table.add_row([
+        seed.to_string(),
+        counts.served.to_string(),
+        counts.refused.to_string(),
+        counts.failed.to_string(),
+        counts.unanswered.to_string(),
+        format!("{:.1} s", report.longest_recovery.as_secs_f64()),
+        report.violations.len().to_string(),
+    ]);
+}
+
+/// Copies the files of a run beside its violations.
+fn keep_failure(directory: &Path, kept: &Path, report: &SoakReport) -> eyre::Result<()> {
+    std::fs::create_dir_all(kept).wrap_err_with(|| format!("cannot make {}", kept.display()))?;
+    for entry in std::fs::read_dir(directory)? {
+        let path = entry?.path();
+        if let Some(name) = path.file_name() {
+            std::fs::copy(&path, kept.join(name)).wrap_err("cannot keep a log")?;
+        }
+    }
+    let text = report.violations.join("\n");
+    std::fs::write(kept.join("violations.txt"), text).wrap_err("cannot keep the violations")
+}
--- a/crates/winch-standin/src/keyed_standin.rs
+++ b/crates/winch-standin/src/keyed_standin.rs
@@ -1,149 +1,38 @@
-//! Stand-in of an upstream that holds key ranges under fenced grants.
+//! Stand-in of an upstream beside a sidecar.
 //!
-//! It announces itself to the process beside it, takes grants and releases, runs
-//! a request only while it holds the key, and answers 421 otherwise. All
-//! stand-ins of one [`KeyWorld`] check each other: a grant of a key that another
-//! one still holds, a fence that does not rise and a request that runs twice are
-//! noted as violations.
+//! It announces itself to the sidecar, takes grants and releases, runs a request
+//! only while it holds the key, if its service is divided by key, and answers
+//! 421 otherwise. All stand-ins of one [`KeyWorld`] check each other there.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use eyre::WrapErr;
-use serde::Deserialize;
 use serde_json::json;
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
+use tokio::runtime::Runtime;
 use tokio::time::Instant;
 use warp::Filter;
 use warp::http::HeaderMap;
 use warp::http::Response;
 
-/// A range that one upstream holds.
-#[derive(Debug, Clone)]
-struct HeldKeys {
-    instance: Box<str>,
-    first: u16,
-    last: u16,
-    fence: u64,
-    until: Instant,
-}
-
-#[derive(Debug, Default)]
-struct WorldState {
-    held: Vec<HeldKeys>,
-    runs: HashMap<Box<str>, u32>,
-    violations: Vec<String>,
-}
-
-/// What all upstreams of a test hold and ran. Cloning shares it.
-#[derive(Debug, Clone, Default)]
-pub struct KeyWorld {
-    state: Arc<Mutex<WorldState>>,
-}
-
-impl KeyWorld {
-    /// Returns what went wrong so far.
-    pub fn violations(&self) -> Vec<String> {
-        self.lock().violations.clone()
-    }
-
-    /// Returns how many requests ran.
-    pub fn runs(&self) -> usize {
-        self.lock().runs.len()
-    }
+use crate::key_world::GrantCall;
+use crate::key_world::KeyWorld;
+use crate::key_world::RunStart;
 
-    fn lock(&self) -> MutexGuard<'_, WorldState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+/// Time between announcements.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
 
-    fn grant(&self, instance: &str, grant: &GrantCall, hold: Duration) -> bool {
-        let now = Instant::now();
-        let mut state = self.lock();
-        let overlaps = |held: &HeldKeys| held.first <= grant.to && grant.from <= held.last;
-        let others: Vec<HeldKeys> = state
-            .held
-            .iter()
-            .filter(|held| overlaps(held) && *held.instance != *instance)
-            .cloned()
-            .collect();
-        for other in others {
-            if other.until > now {
-                let text = format!("{instance} is granted {grant:?} while {other:?}");
-                state.violations.push(text);
-            }
-            if other.fence >= grant.fence {
-                let text = format!("{instance} is granted {grant:?}, not above {other:?}");
-                state.violations.push(text);
-                return false;
-            }
-        }
-        state.held.push(HeldKeys {
-            instance: instance.into(),
-            first: grant.from,
-            last: grant.to,
-            fence: grant.fence,
-            until: now + hold,
-        });
-        true
-    }
-
-    fn release(&self, instance: &str, first: u16, last: u16) {
-        let now = Instant::now();
-        let mut state = self.lock();
-        let mut kept = Vec::new();
-        for held in std::mem::take(&mut state.held) {
-            let inside = held.first <= last && first <= held.last;
-            if *held.instance != *instance || !inside {
-                kept.push(held);
-                continue;
-            }
-            if held.first < first {
-                kept.push(HeldKeys {
-                    last: first - 1,
-                    ..held.clone()
-                });
-            }
-            if held.last > last {
-                kept.push(HeldKeys {
-                    first: last + 1,
-                    ..held.clone()
-                });
-            }
-            kept.push(HeldKeys {
-                first: held.first.max(first),
-                last: held.last.min(last),
-                until: now,
-                ..held
-            });
-        }
-        state.held = kept;
-    }
-
-    fn begin(&self, instance: &str, id: &str, key: u16) -> bool {
-        let now = Instant::now();
-        let mut state = self.lock();
-        let holds = state.held.iter().any(|held| {
-            *held.instance == *instance && held.first <= key && key <= held.last && held.until > now
-        });
-        if holds {
-            let runs = state.runs.entry(id.into()).or_default();
-            *runs += 1;
-            if *runs > 1 {
-                state
-                    .violations
-                    .push(format!("{id} runs again at {instance}"));
-            }
-        }
-        holds
-    }
-}
+/// Work of a request whose path begins with `/slow/`, in units of the others'.
+const SLOW_FACTOR: u32 = 20;
 
 /// How an upstream is set up.
 #[derive(Debug, Clone)]
@@ -157,26 +46,58 @@
     pub service: Box<str>,
     /// Where it takes requests.
     pub address: SocketAddr,
+    /// The address that it announces.
+    #[builder(default = address)]
+    pub announced: SocketAddr,
     /// Where it announces itself.
     pub announce_to: SocketAddr,
+    /// Whether its service is divided by key.
+    #[builder(default = true)]
+    pub divided: bool,
+    /// Beginning of the paths whose requests may run once at most.
+    #[builder(default = "/", into)]
+    pub once_prefix: Box<str>,
     /// How long a request takes.
     #[builder(default = Duration::from_millis(5))]
     pub work: Duration,
 }
 
-#[derive(Debug, Clone, Deserialize)]
-struct GrantCall {
-    from: u16,
-    to: u16,
-    fence: u64,
-    #[serde(default)]
-    hold_time: String,
+/// Faults, switched at run time.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct KeyedFaults {
+    /// Time that each request takes besides its work.
+    pub slower: Duration,
+    /// Probability that a request that has run is answered with 500.
+    pub fail: f64,
+    /// Probability that the answer to a request that has run never comes.
+    pub lose_answer: f64,
+}
+
+/// Body of the answer to a request that ran at an instance.
+pub fn answer_body(instance: &str, path: &str, id: &str) -> String {
+    format!("{instance} ran {path} for {id}, end")
+}
+
+/// Signature of the answer to a request.
+pub fn answer_signature(id: &str) -> String {
+    format!("signed-{id}")
+}
+
+#[derive(Debug)]
+struct UpstreamShared {
+    settings: KeyedSettings,
+    born: u64,
+    world: KeyWorld,
+    faults: Mutex<KeyedFaults>,
+    draining: AtomicBool,
 }
 
-/// A running upstream; it stops when this is dropped.
+/// A running upstream; it crashes when this is dropped.
 #[derive(Debug)]
 pub struct KeyedStandin {
-    tasks: Vec<JoinHandle<()>>,
+    shared: Arc<UpstreamShared>,
+    /// Its own, so that a crash ends every connection.
+    runtime: Option<Runtime>,
 }
 
 impl KeyedStandin {
@@ -185,80 +106,110 @@
     /// # Errors
     ///
     /// Fails if its address cannot be bound.
-    pub async fn start(settings: KeyedSettings, world: KeyWorld) -> eyre::Result<Self> {
-        let listener = TcpListener::bind(settings.address)
-            .await
-            .wrap_err("cannot bind the upstream")?;
-        let settings = Arc::new(settings);
-        let served = tokio::spawn(serve(listener, Arc::clone(&settings), world));
-        let announced = tokio::spawn(announce(settings));
+    pub fn start(settings: KeyedSettings, world: KeyWorld) -> eyre::Result<Self> {
+        let listener =
+            std::net::TcpListener::bind(settings.address).wrap_err("cannot bind the upstream")?;
+        listener.set_nonblocking(true)?;
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .wrap_err("cannot start the upstream's runtime")?;
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let shared = Arc::new(UpstreamShared {
+            settings,
+            born: born.as_millis() as u64,
+            world,
+            faults: Mutex::default(),
+            draining: AtomicBool::default(),
+        });
+        let served = Arc::clone(&shared);
+        runtime.spawn(async move {
+            match TcpListener::from_std(listener) {
+                Ok(listener) => serve(listener, served).await,
+                Err(error) => log::error!("upstream: cannot serve: {error}"),
+            }
+        });
+        runtime.spawn(announce(Arc::clone(&shared)));
         Ok(Self {
-            tasks: vec![served, announced],
+            shared,
+            runtime: Some(runtime),
         })
     }
+
+    /// Switches the faults.
+    pub fn set_faults(&self, faults: KeyedFaults) {
+        let current = &self.shared.faults;
+        *current.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+    }
+
+    /// Announces from now on that the upstream leaves.
+    pub fn drain(&self) {
+        self.shared.draining.store(true, Ordering::Relaxed);
+    }
 }
 
 impl Drop for KeyedStandin {
     fn drop(&mut self) {
-        for task in &self.tasks {
-            task.abort();
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
         }
+        self.shared.world.end_life(&self.shared.settings.instance);
     }
 }
 
-async fn announce(settings: Arc<KeyedSettings>) {
+async fn announce(shared: Arc<UpstreamShared>) {
     let client = reqwest::Client::new();
+    let settings = &shared.settings;
     let url = format!(
         "http://{}/Instances.Heartbeat/{}",
         settings.announce_to, settings.instance
     );
     for number in 1_u64.. {
+        let draining = shared.draining.load(Ordering::Relaxed);
+        let state = if draining { "draining" } else { "ready" };
         let body = json!({
-            "service": settings.service, "address": settings.address, "zone": "a", "version": "v1",
-            "slots": 8, "state": "ready", "coldRemaining": "0ms", "seq": number, "born": 1_000,
+            "service": settings.service, "address": settings.announced, "zone": "a",
+            "version": "v1", "slots": 8, "state": state, "coldRemaining": "0ms", "seq": number,
+            "born": shared.born,
         });
         // A process that is away misses the announcement, as in the field.
-        drop(client.post(&url).json(&body).send().await);
-        tokio::time::sleep(Duration::from_millis(200)).await;
+        let taken = client.post(&url).json(&body).send().await;
+        if draining && taken.is_ok_and(|answer| answer.status().is_success()) {
+            shared.world.note_drain(&settings.instance, Instant::now());
+        }
+        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
     }
 }
 
-async fn serve(listener: TcpListener, settings: Arc<KeyedSettings>, world: KeyWorld) {
-    let with_parts = {
-        let parts = (settings, world);
-        warp::any().map(move || parts.clone())
-    };
+async fn serve(listener: TcpListener, shared: Arc<UpstreamShared>) {
+    let with_shared = warp::any().map(move || Arc::clone(&shared));
     let grant = warp::post()
         .and(warp::path!("grant"))
         .and(warp::body::json())
-        .and(with_parts.clone())
-        .map(
-            |call: GrantCall, (settings, world): (Arc<KeyedSettings>, KeyWorld)| {
-                let text = call.hold_time.trim_end_matches("ms");
-                let hold = Duration::from_millis(text.parse().unwrap_or_default());
-                let taken = world.grant(&settings.instance, &call, hold);
-                reply(if taken { 200 } else { 409 }, &[], Bytes::new())
-            },
-        );
+        .and(with_shared.clone())
+        .map(|call: GrantCall, shared: Arc<UpstreamShared>| {
+            let taken = shared.world.grant(&shared.settings.instance, &call);
+            reply(if taken { 200 } else { 409 }, &[], Bytes::new())
+        });
     let release = warp::post()
         .and(warp::path!("release"))
         .and(warp::body::json())
-        .and(with_parts.clone())
-        .map(
-            |call: GrantCall, (settings, world): (Arc<KeyedSettings>, KeyWorld)| {
-                world.release(&settings.instance, call.from, call.to);
-                reply(200, &[("handover", "state")], Bytes::new())
-            },
-        );
+        .and(with_shared.clone())
+        .map(|call: GrantCall, shared: Arc<UpstreamShared>| {
+            let instance = &shared.settings.instance;
+            shared.world.release(instance, call.from, call.to);
+            reply(200, &[("handover", "state")], Bytes::new())
+        });
     let work = warp::any()
         .and(warp::path::full())
         .and(warp::header::headers_cloned())
-        .and(with_parts)
+        .and(with_shared)
         .then(
-            |path: warp::path::FullPath,
-             headers: HeaderMap,
-             parts: (Arc<KeyedSettings>, KeyWorld)| async move {
-                answer_work(path.as_str(), &headers, &parts.0, &parts.1).await
+            |path: warp::path::FullPath, headers: HeaderMap, shared: Arc<UpstreamShared>| async move {
+                answer_work(path.as_str(), &headers, &shared).await
             },
         );
     warp::serve(grant.or(release).or(work))
@@ -267,35 +218,47 @@
         .await;
 }
 
-async fn answer_work(
-    path: &str,
-    headers: &HeaderMap,
-    settings: &KeyedSettings,
-    world: &KeyWorld,
-) -> Response<Bytes> {
+async fn answer_work(path: &str, headers: &HeaderMap, shared: &UpstreamShared) -> Response<Bytes> {
     let text = |name: &str| {
         headers
             .get(name)
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default()
     };
+    let settings = &shared.settings;
     let id = text("request-id");
-    let expected = text("expected-instance");
-    let key = text("shard-key").parse().unwrap_or_default();
-    if expected != &*settings.instance || !world.begin(&settings.instance, id, key) {
+    let start = RunStart {
+        instance: &settings.instance,
+        id,
+        path,
+        key: settings
+            .divided
+            .then(|| text("shard-key").parse().unwrap_or_default()),
+        once: path.starts_with(&*settings.once_prefix),
+    };
+    if text("expected-instance") != &*settings.instance || !shared.world.begin(&start) {
         return reply(
             421,
             &[("not-executed", "1"), ("request-id", id)],
             Bytes::new(),
         );
     }
-    tokio::time::sleep(settings.work).await;
-    let body = format!("{} ran {path}", settings.instance);
-    reply(
-        200,
-        &[("response-signature", "signed"), ("request-id", id)],
-        body,
-    )
+    let faults = *shared.faults.lock().unwrap_or_else(PoisonError::into_inner);
+    let factor = if path.starts_with("/slow/") {
+        SLOW_FACTOR
+    } else {
+        1
+    };
+    tokio::time::sleep(settings.work * factor + faults.slower).await;
+    if rand::random_bool(faults.lose_answer.clamp(0.0, 1.0)) {
+        std::future::pending::<()>().await;
+    }
+    let signature = answer_signature(id);
+    let headers = [("response-signature", &*signature), ("request-id", id)];
+    if rand::random_bool(faults.fail.clamp(0.0, 1.0)) {
+        return reply(500, &headers, Bytes::new());
+    }
+    reply(200, &headers, answer_body(&settings.instance, path, id))
 }
 
 fn reply(status: u16, headers: &[(&str, &str)], body: impl Into<Bytes>) -> Response<Bytes> {
--- a/crates/winch-standin/src/store_standin.rs
+++ b/crates/winch-standin/src/store_standin.rs
@@ -44,6 +44,8 @@
     pub delay: Duration,
     /// Probability that an append takes effect and is never answered.
     pub lose_answer: f64,
+    /// Longest time after which such an append takes effect.
+    pub late: Duration,
 }
 
 /// One topic's records.
@@ -204,37 +206,45 @@
     faults.down.then(|| reply(503, Bytes::new()))
 }
 
-async fn answer_append(query: StoreQuery, mut body: Bytes, shared: SharedState) -> StoreReply {
+async fn answer_append(query: StoreQuery, body: Bytes, shared: SharedState) -> StoreReply {
     let (state, grown) = shared;
     if let Some(refused) = enter(&state).await {
         return refused;
     }
-    let (answer, lost) = {
-        let mut state = lock(&state);
-        let lost = rand::random_bool(state.faults.lose_answer.clamp(0.0, 1.0));
-        let topic = state.topics.entry(query.topic).or_default();
-        let offset = topic.records.len();
-        if query.at.is_some_and(|at| at != offset) {
-            return reply(412, json!({"endOffset": offset}).to_string());
-        }
-        while body.remaining() >= 4 {
-            let length = body.get_u32() as usize;
-            let mut record = body.split_to(length);
-            let key_length = usize::from(record.get_u8());
-            let key = String::from_utf8_lossy(&record.split_to(key_length)).into();
-            topic.records.push((key, record));
-        }
-        let end = topic.records.len();
-        (
-            json!({"offset": offset, "endOffset": end}).to_string(),
-            lost,
-        )
-    };
+    let faults = lock(&state).faults;
+    let lost = rand::random_bool(faults.lose_answer.clamp(0.0, 1.0));
+    if lost && !faults.late.is_zero() {
+        tokio::spawn(async move {
+            tokio::time::sleep(faults.late.mul_f64(rand::random())).await;
+            append_now(&mut lock(&state), &query, body);
+            grown.notify_waiters();
+        });
+        return std::future::pending().await;
+    }
+    let answer = append_now(&mut lock(&state), &query, body);
     grown.notify_waiters();
     if lost {
         std::future::pending::<()>().await;
     }
-    reply(200, answer)
+    answer
+}
+
+/// Appends the records if the topic ends where the call expects it to.
+fn append_now(state: &mut StoreState, query: &StoreQuery, mut body: Bytes) -> StoreReply {
+    let topic = state.topics.entry(query.topic.clone()).or_default();
+    let offset = topic.records.len();
+    if query.at.is_some_and(|at| at != offset) {
+        return reply(412, json!({"endOffset": offset}).to_string());
+    }
+    while body.remaining() >= 4 {
+        let length = body.get_u32() as usize;
+        let mut record = body.split_to(length);
+        let key_length = usize::from(record.get_u8());
+        let key = String::from_utf8_lossy(&record.split_to(key_length)).into();
+        topic.records.push((key, record));
+    }
+    let end = topic.records.len();
+    reply(200, json!({"offset": offset, "endOffset": end}).to_string())
 }
 
 async fn answer_read(query: StoreQuery, shared: SharedState) -> StoreReply {
--- a/crates/winch-test-support/src/lib.rs
+++ b/crates/winch-test-support/src/lib.rs
@@ -9,4 +9,3 @@
 pub mod owner;
 pub mod ownership_world;
 pub mod records;
-pub mod relay;
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -116,7 +116,7 @@
         let member = MemberRecord {
             incarnation: next_incarnation(former),
             node: settings.node.clone(),
-            address: settings.peers,
+            address: settings.advertised,
             service: settings.service.clone(),
             domain: settings.domain.clone(),
         };
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -22,6 +22,9 @@
     pub domain: DomainName,
     /// Where the process talks to other processes, by TCP and UDP.
     pub peers: SocketAddr,
+    /// Where others reach that address; it differs behind a relay.
+    #[builder(default = peers)]
+    pub advertised: SocketAddr,
     /// How often the upstream announces itself.
     pub announce_interval: Duration,
     /// How long the process may take to leave.
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -22,7 +22,7 @@
 pub enum InboundVerdict {
     /// It is new: run it.
     Run(CancellationToken),
-    /// It runs already; its answer goes to the newest connection.
+    /// It runs already; its answer goes to every open connection.
     Running,
     /// It was answered: send this again.
     Answered(Bytes),
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -3,11 +3,12 @@
 use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
 use bytes::Bytes;
+use futures_util::future::join_all;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -60,7 +61,10 @@
 #[derive(Debug, Default)]
 struct EntrySession {
     inbound: Mutex<InboundTable>,
-    outlet: ArcSwapOption<ConnectionSender>,
+    /// The open connections. There is one, or a few while one that the entry
+    /// has given up is not known to be closed: it may even arrive after its
+    /// successor, so the order tells nothing.
+    outlets: Mutex<Vec<ConnectionSender>>,
 }
 
 impl EntrySession {
@@ -68,11 +72,39 @@
         action(&mut self.inbound.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    async fn send(&self, message: Bytes) {
-        if let Some(outlet) = self.outlet.load_full() {
-            // A closed connection loses the message; the entry asks again.
-            drop(outlet.send(message).await);
-        }
+    fn outlets(&self) -> MutexGuard<'_, Vec<ConnectionSender>> {
+        self.outlets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends an answer on every open connection: the entry drops what it does
+    /// not wait for.
+    async fn answer(&self, answer: &Bytes) {
+        let outlets = self.outlets().clone();
+        // A closed connection loses the answer; the entry asks again.
+        let sends = outlets.iter().map(|outlet| outlet.send(answer.clone()));
+        join_all(sends).await;
+    }
+}
+
+/// A connection that answers may be sent on, until dropped.
+struct OpenOutlet {
+    session: Arc<EntrySession>,
+    sender: ConnectionSender,
+}
+
+impl OpenOutlet {
+    fn new(session: Arc<EntrySession>, sender: ConnectionSender) -> Self {
+        session.outlets().push(sender.clone());
+        Self { session, sender }
+    }
+}
+
+impl Drop for OpenOutlet {
+    fn drop(&mut self) {
+        let sender = &self.sender;
+        self.session
+            .outlets()
+            .retain(|outlet| !outlet.same_channel(sender));
     }
 }
 
@@ -135,7 +167,7 @@
             return Ok(());
         };
         let session = self.session(from);
-        session.outlet.store(Some(Arc::new(sender.clone())));
+        let _outlet = OpenOutlet::new(Arc::clone(&session), sender.clone());
         loop {
             let Ok(message) = timeout(IDLE_TIMEOUT, reader.next()).await else {
                 return Ok(());
@@ -195,7 +227,7 @@
         sender: &ConnectionSender,
     ) {
         match message {
-            PeerMessage::Request { id, order } => self.arrive(id, *order, session).await,
+            PeerMessage::Request { id, order } => self.arrive(id, *order, session, sender).await,
             PeerMessage::Cancel { id } => session.with_inbound(|inbound| inbound.cancel(id)),
             PeerMessage::Ping => drop(sender.send(encode_message(&PeerMessage::Pong)).await),
             PeerMessage::Hello { .. }
@@ -207,10 +239,16 @@
         }
     }
 
-    async fn arrive(&self, id: RequestId, order: OrderRequest, session: &Arc<EntrySession>) {
+    async fn arrive(
+        &self,
+        id: RequestId,
+        order: OrderRequest,
+        session: &Arc<EntrySession>,
+        sender: &ConnectionSender,
+    ) {
         match session.with_inbound(|inbound| inbound.arrive(id)) {
             InboundVerdict::Running => {}
-            InboundVerdict::Answered(answer) => session.send(answer).await,
+            InboundVerdict::Answered(answer) => drop(sender.send(answer).await),
             InboundVerdict::Run(cancelled) => {
                 let handler = self.handler.clone();
                 let session = Arc::clone(session);
@@ -223,7 +261,7 @@
                     });
                     session
                         .with_inbound(|inbound| inbound.answer(id, answer.clone(), Instant::now()));
-                    session.send(answer).await;
+                    session.answer(&answer).await;
                 });
             }
         }
--- a/tests/testsuite/mesh_path.rs
+++ b/tests/testsuite/mesh_path.rs
@@ -5,13 +5,20 @@
 use std::time::Instant;
 
 use eyre::WrapErr;
-use serde_json::json;
 use tokio::sync::oneshot;
 use winch_platform::run::start_sidecar;
 use winch_platform::settings::parse_settings;
-use winch_standin::keyed_standin::KeyWorld;
+use winch_standin::key_world::KeyWorld;
 use winch_standin::keyed_standin::KeyedSettings;
 use winch_standin::keyed_standin::KeyedStandin;
+use winch_standin::sidecar_files::CONFIGURATION_KEY;
+use winch_standin::sidecar_files::FLEET_TOPIC;
+use winch_standin::sidecar_files::MachinePorts;
+use winch_standin::sidecar_files::OPERATOR_TOPIC;
+use winch_standin::sidecar_files::RouteFile;
+use winch_standin::sidecar_files::SidecarFile;
+use winch_standin::sidecar_files::configuration_text;
+use winch_standin::sidecar_files::free_machine_ports;
 use winch_standin::store_standin::StoreFaults;
 use winch_standin::store_standin::StoreStandin;
 
@@ -20,31 +27,26 @@
 /// How long a test waits for something that takes a second or two.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-/// One machine: its address, and ports that were free a moment ago.
+/// Loopback network of the machines.
+const NETWORK: [u8; 3] = [127, 0, 77];
+
 #[derive(Debug, Clone, Copy)]
 struct TestMachine {
-    number: u8,
-    base: u16,
+    number: usize,
+    ports: MachinePorts,
 }
 
 impl TestMachine {
-    fn at(self, offset: u16) -> SocketAddr {
-        SocketAddr::from(([127, 0, 77, self.number], self.base + offset))
-    }
-
     fn settings(self, store: SocketAddr) -> String {
-        json!({
-            "node": format!("node-{}", self.number), "ip": self.at(0).ip(),
-            "zone": format!("zone-{}", self.number), "service": SERVICE, "heartbeat": "200ms",
-            "listen": {"outbound": self.at(0), "readiness": self.at(1), "control": self.at(2)},
-            "portRange": [self.base + 4, self.base + 5], "app": self.at(3),
-            "bounds": {
-                "grace": "3s", "holdMax": "10s", "retryBudgetRatio": 0.2,
-                "budgetWindow": "10s", "budgetSlack": 60,
-            },
-            "platform": {"address": store},
-        })
-        .to_string()
+        SidecarFile::builder()
+            .node(format!("node-{}", self.number))
+            .zone(format!("zone-{}", self.number))
+            .service(SERVICE)
+            .ports(self.ports)
+            .upstream(self.ports.upstream())
+            .store(store)
+            .build()
+            .text()
     }
 }
 
@@ -95,52 +97,33 @@
 }
 
 fn configuration(version: u64) -> String {
-    json!({
-        "version": version,
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1_000_000, "headerTimeout": "3s", "idleTimeout": "15s"},
-        "listeners": [{"host": "shop.example", "rules": [{
-            "name": "lookup", "routeType": "idempotent", "targetLatency": "1s", "priority": 0,
-            "match": {"pathPrefix": "/prices/"},
-            "action": {"service": SERVICE, "timeout": "2s", "maxAttempts": 1},
-        }]}],
-        "clusters": [{"name": SERVICE, "healthCheckPath": "/health", "maxConnections": 130, "sharding": true}],
-    })
-    .to_string()
-}
-
-/// Finds ports that are free on every machine's address.
-fn free_base(count: u8) -> u16 {
-    (0..200)
-        .map(|_try| 20_000 + rand::random::<u16>() % 30_000)
-        .find(|base| {
-            (1..=count).all(|number| {
-                (0..6).all(|offset| {
-                    let address = SocketAddr::from(([127, 0, 77, number], base + offset));
-                    std::net::TcpListener::bind(address).is_ok()
-                })
-            })
-        })
-        .expect("free ports")
+    let route = RouteFile::builder().name("prices").service(SERVICE).build();
+    configuration_text(version, &[(SERVICE, true)], &[route])
 }
 
 impl TestMesh {
     async fn start(count: u8) -> eyre::Result<Self> {
         let store = StoreStandin::start().await?;
-        store.put("keyed.op", "config", configuration(4).as_bytes());
+        store.put(
+            OPERATOR_TOPIC,
+            CONFIGURATION_KEY,
+            configuration(4).as_bytes(),
+        );
         let world = KeyWorld::default();
-        let base = free_base(count);
-        let machines: Vec<_> = (1..=count)
-            .map(|number| TestMachine { number, base })
+        let machines: Vec<_> = free_machine_ports(NETWORK, count)
+            .into_iter()
+            .enumerate()
+            .map(|(number, ports)| TestMachine { number, ports })
             .collect();
         let mut upstreams = Vec::new();
         for machine in &machines {
             let settings = KeyedSettings::builder()
                 .instance(format!("instance-{}", machine.number))
                 .service(SERVICE)
-                .address(machine.at(3))
-                .announce_to(machine.at(2))
+                .address(machine.ports.upstream())
+                .announce_to(machine.ports.announcements())
                 .build();
-            upstreams.push(KeyedStandin::start(settings, world.clone()).await?);
+            upstreams.push(KeyedStandin::start(settings, world.clone())?);
         }
         let sidecars = machines
             .iter()
@@ -162,7 +145,10 @@
     /// Sends a request for a key and returns its status; 0 without an answer.
     async fn ask(&mut self, machine: usize, key: u16) -> u16 {
         self.next_id += 1;
-        let url = format!("http://{}/prices/{key}", self.machines[machine].at(0));
+        let url = format!(
+            "http://{}/prices/{key}",
+            self.machines[machine].ports.callers()
+        );
         let request = self
             .client
             .get(url)
@@ -257,7 +243,7 @@
     for machine in 0..3 {
         mesh.kill(machine);
     }
-    mesh.store.drop_history("keyed.winch");
+    mesh.store.drop_history(FLEET_TOPIC);
     mesh.store.set_faults(StoreFaults {
         lose_answer: 0.3,
         delay: Duration::from_millis(20),
--- a/tests/testsuite/transport_link.rs
+++ b/tests/testsuite/transport_link.rs
@@ -13,17 +13,25 @@
 use buckthornwinch::delivery::message::OrderRequest;
 use buckthornwinch::delivery::message::OrderResult;
 use buckthornwinch::delivery::message::UpstreamAnswer;
+use buckthornwinch::transport::connection;
+use buckthornwinch::transport::connection::ConnectionReader;
+use buckthornwinch::transport::connection::ConnectionSender;
+use buckthornwinch::transport::frame::PROTOCOL_VERSION;
+use buckthornwinch::transport::frame::PeerMessage;
+use buckthornwinch::transport::frame::encode_message;
 use buckthornwinch::transport::link::PeerLink;
 use buckthornwinch::transport::link::RequestNumbers;
 use buckthornwinch::transport::server::OrderHandler;
 use buckthornwinch::transport::server::PeerServer;
 use bytes::Bytes;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
+use winch_standin::relay::SilentDirection;
+use winch_standin::relay::TcpRelay;
 use winch_test_support::owner::order;
-use winch_test_support::relay::SilentDirection;
-use winch_test_support::relay::TcpRelay;
 
 const ENTRY: u64 = 1;
 const OWNER: u64 = 2;
@@ -100,6 +108,55 @@
     }
 }
 
+async fn introduce(address: SocketAddr) -> (ConnectionReader, ConnectionSender) {
+    let stream = TcpStream::connect(address)
+        .await
+        .expect("the owner listens");
+    let (mut reader, sender) = connection::open(stream).expect("the stream is open");
+    let hello = PeerMessage::Hello {
+        version: PROTOCOL_VERSION,
+        from: ENTRY,
+        to: OWNER,
+    };
+    sender
+        .send(encode_message(&hello))
+        .await
+        .expect("the connection is open");
+    let welcome = reader.next().await.expect("the connection is open");
+    assert!(matches!(welcome, Some(PeerMessage::Welcome { .. })));
+    (reader, sender)
+}
+
+/// A connection that its entry has given up may arrive after its successor,
+/// when a link that was cut delivers what it has held back.
+#[tokio::test]
+async fn a_late_connection_takes_no_answers_from_its_successor() {
+    let owner = CountingOwner::default();
+    let (address, _stop) = serve(OWNER, owner.clone()).await;
+    let (mut reader, sender) = introduce(address).await;
+    let request = PeerMessage::Request {
+        id: 7,
+        order: Box::new(order("orders", "/reorder")),
+    };
+    sender
+        .send(encode_message(&request))
+        .await
+        .expect("the connection is open");
+    owner.started.notified().await;
+
+    let (_late_reader, _late_sender) = introduce(address).await;
+    owner.release.cancel();
+
+    let answer = timeout(Duration::from_secs(5), reader.next())
+        .await
+        .expect("an answer comes")
+        .expect("the connection is open");
+    assert!(
+        matches!(answer, Some(PeerMessage::Answer { id: 7, .. })),
+        "{answer:?}"
+    );
+}
+
 #[tokio::test]
 async fn many_answers_reach_their_own_requests() {
     let owner = CountingOwner::default();
