sidecar: let the oldest two processes watch the configuration with short reads

The long reads of every process hung since the store had been silent, for up to 31 s; the next change got through only by the luck of a process that restarted and told the others. Now the two oldest live processes read with a wait of 0.5 s, and their reports tell the rest.

--- a/crates/winch-standin/src/store_standin.rs
+++ b/crates/winch-standin/src/store_standin.rs
@@ -38,7 +38,8 @@
 pub struct StoreFaults {
     /// Every call is refused with 503.
     pub down: bool,
-    /// Calls are never answered, and appends take no effect.
+    /// Calls are never answered, and appends take no effect; reads that wait
+    /// when this begins are not answered later either.
     pub silent: bool,
     /// Time that each call takes.
     pub delay: Duration,
@@ -75,6 +76,8 @@
 struct StoreState {
     topics: HashMap<String, TopicRecords>,
     faults: StoreFaults,
+    /// How often the store has fallen silent.
+    silences: u64,
     calls: u64,
 }
 
@@ -130,7 +133,9 @@
 
     /// Switches faults.
     pub fn set_faults(&self, faults: StoreFaults) {
-        lock(&self.state).faults = faults;
+        let mut state = lock(&self.state);
+        state.silences += u64::from(faults.silent && !state.faults.silent);
+        state.faults = faults;
     }
 
     /// Appends a record as an operator would.
@@ -252,11 +257,15 @@
     if let Some(refused) = enter(&state).await {
         return refused;
     }
+    let silences = lock(&state).silences;
     let until = tokio::time::Instant::now() + Duration::from_millis(query.wait_ms);
     loop {
         let changed = grown.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
+        if lock(&state).silences > silences {
+            std::future::pending::<()>().await;
+        }
         if let Some(answer) = read_now(&mut lock(&state), &query) {
             return answer;
         }
--- a/src/peers/directory.rs
+++ b/src/peers/directory.rs
@@ -160,6 +160,21 @@
             .is_some_and(|peer| is_fresh(peer, now, interval))
     }
 
+    /// Tells whether a process is among the `count` oldest of itself and the
+    /// members that have reported lately.
+    pub fn is_among_oldest(
+        &self,
+        own: Incarnation,
+        count: usize,
+        now: Duration,
+        interval: Duration,
+    ) -> bool {
+        let older = self
+            .live(now, interval)
+            .filter(|peer| peer.member.incarnation < own);
+        older.count() < count
+    }
+
     /// Returns the members that have reported lately.
     pub fn live(&self, now: Duration, interval: Duration) -> impl Iterator<Item = &KnownPeer> {
         self.peers
--- a/src/sidecar/fleet.rs
+++ b/src/sidecar/fleet.rs
@@ -32,6 +32,10 @@
 /// cost stays about the same in a larger fleet.
 const REPORT_PER_MEMBER: Duration = Duration::from_millis(12);
 
+/// Processes that watch the operator's records for the fleet: one, and one more
+/// that has the news while the first is cut off from the store.
+const WATCHERS: usize = 2;
+
 /// The newest range map that is known.
 #[derive(Debug, Clone, Default)]
 pub struct MapView {
@@ -176,6 +180,13 @@
             .is_live(incarnation, since_boot(), interval)
     }
 
+    /// Tells whether this process watches the operator's records for the fleet.
+    pub fn is_watcher(&self) -> bool {
+        let interval = self.report_interval();
+        self.directory()
+            .is_among_oldest(self.own.incarnation, WATCHERS, since_boot(), interval)
+    }
+
     /// Puts a configuration in force if it is newer. True if it is.
     pub fn offer_configuration(&self, configuration: RouteConfiguration, source: &str) -> bool {
         let version = configuration.version;
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -3,9 +3,10 @@
 //! Every call to the store is paid for. The operator's topic is followed by long
 //! reads, about one for each change. The fleet's own topic is read at the start,
 //! after a conflict, and now and then: whoever changes the map tells the others
-//! directly. A connection to the store may fall silent unnoticed; the reports of
-//! other processes show when this one has missed something. It then reads at
-//! once, and asks the peer itself.
+//! directly. A connection to the store may fall silent unnoticed, at all
+//! processes at once if the store itself was silent. So the oldest few watch the
+//! operator's topic with short reads, and the reports of others show a process
+//! when it has missed something. It then reads at once, and asks the peer itself.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,6 +33,13 @@
 /// other means.
 const LONG_READ: Duration = Duration::from_secs(30);
 
+/// Wait of one read by a process that watches for the fleet. With the time that
+/// a call may take besides, it is below that in which a change must be in force.
+const WATCH_READ: Duration = Duration::from_millis(500);
+
+/// How often a process looks whether it is to watch for the fleet.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+
 /// First and longest wait after a failed call.
 const RETRY_WAITS: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(800));
 
@@ -82,9 +90,11 @@
     let mut next: Option<Offset> = None;
     let mut backoff = RetryBackoff::new(RETRY_WAITS.0, RETRY_WAITS.1);
     loop {
-        let reading = read_on(&store, topic, next);
+        let watches = topic == StoreTopic::Operator && fleet.is_watcher();
+        let reading = read_on(&store, topic, next, watches);
         let result = tokio::select! {
             result = reading => result,
+            () = begin_watch(&fleet), if topic == StoreTopic::Operator && !watches => continue,
             // Reads again on a fresh connection: the present one may be silent.
             () = fleet.nudge(topic).notified() => continue,
         };
@@ -132,14 +142,23 @@
     }
 }
 
+/// Waits until this process is to watch for the fleet.
+async fn begin_watch(fleet: &FleetState) {
+    while !fleet.is_watcher() {
+        sleep(WATCH_INTERVAL).await;
+    }
+}
+
 async fn read_on<S: StateStore>(
     store: &S,
     topic: StoreTopic,
     next: Option<Offset>,
+    watches: bool,
 ) -> Result<StorePage, StoreError> {
     match next {
         Some(from) => {
             let wait = match topic {
+                StoreTopic::Operator if watches => WATCH_READ,
                 StoreTopic::Operator => LONG_READ,
                 StoreTopic::Fleet => Duration::ZERO,
             };
--- a/tests/testsuite/mesh_path.rs
+++ b/tests/testsuite/mesh_path.rs
@@ -235,6 +235,37 @@
     mesh.check()
 }
 
+/// Long reads that were open when the store fell silent are never answered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_configuration_gets_through_soon_after_the_store_was_silent() -> eyre::Result<()> {
+    /// Far below the time that one long read takes.
+    const SOON: Duration = Duration::from_secs(10);
+    let mut mesh = TestMesh::start(3).await?;
+    mesh.wait_until_served(0).await.wrap_err("at the start")?;
+    mesh.store.set_faults(StoreFaults {
+        silent: true,
+        ..StoreFaults::default()
+    });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    mesh.store.set_faults(StoreFaults::default());
+
+    let changed = configuration(5).replace("/prices/", "/offers/");
+    mesh.store
+        .put(OPERATOR_TOPIC, CONFIGURATION_KEY, changed.as_bytes());
+
+    let written = Instant::now();
+    for machine in 0..3 {
+        while mesh.ask(machine, 1).await != 404 {
+            eyre::ensure!(
+                written.elapsed() < SOON,
+                "machine {machine} uses the old one"
+            );
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_fleet_that_is_killed_at_once_takes_up_its_keys_again() -> eyre::Result<()> {
     let mut mesh = TestMesh::start(3).await?;
