admission: late requests wait for spare slots only, and a caller's age counts

Cause: with more work in time than slots, a request that turned late stepped behind all others and was refused only at its deadline, seconds later; orders that started that late ran into it. And a caller that had been refused and came back counted as fresh, though its answer was late already. Change: the predicted wait of a late request is behind the work in time, in the slots that such work leaves over, so it is refused as soon as it cannot be served; the caller's age is the distance from the deadline that a route's callers usually name.

--- a/src/admission/deadline_queue.rs
+++ b/src/admission/deadline_queue.rs
@@ -9,10 +9,11 @@
 //!   deadline is refused on arrival, with the time after which there is room.
 //! * Calls that running work makes, whose callers hold a slot elsewhere: they
 //!   have the nearest target and so go first within their rank.
-//! * More work of one rank than can be in time: a request that cannot meet its
-//!   target any more steps behind all that can, so that lateness does not
-//!   spread from one request to the next. It is not refused: its caller would
-//!   come back, and find the same overload.
+//! * More work than can be in time: a request that cannot meet its target any
+//!   more steps behind all that can, so that lateness does not spread from one
+//!   request to the next. It waits for what work in time leaves over, and is
+//!   refused as soon as that is too little to end it before its deadline: a
+//!   caller of a hot key hears at once what it would hear after seconds.
 
 use std::time::Duration;
 
@@ -30,6 +31,10 @@
 /// The shortest and the longest time to retry that a refusal names.
 const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(3));
 
+/// Least part of the slots that late requests are taken to get: a measured
+/// demand is never so exact that there is nothing left over.
+const LEAST_SPARE: f32 = 0.05;
+
 /// Index of a kind of requests.
 pub type KindIndex = usize;
 
@@ -84,7 +89,10 @@
 
 impl<T> WaitingRequest<T> {
     fn turn(&self, now: Duration) -> QueueTurn {
-        let late = self.is_late(now);
+        self.turn_if(self.is_late(now))
+    }
+
+    fn turn_if(&self, late: bool) -> QueueTurn {
         let due = if late {
             self.request.deadline
         } else {
@@ -111,6 +119,10 @@
     waiting: Vec<WaitingRequest<T>>,
     service: Duration,
     kinds: Vec<RequestKind>,
+    /// Slot time that requests in time asked for since the last sample.
+    asked_in_time: Duration,
+    /// Smoothed slots that requests in time would keep busy.
+    offered_in_time: f32,
 }
 
 impl<T> DeadlineQueue<T> {
@@ -123,6 +135,8 @@
             waiting: Vec::new(),
             service: INITIAL_SERVICE,
             kinds: Vec::new(),
+            asked_in_time: Duration::ZERO,
+            offered_in_time: 0.0,
         }
     }
 
@@ -152,6 +166,9 @@
             kind.asked = Duration::ZERO;
             kind.offered += (sample - kind.offered) * weight;
         }
+        let sample = self.asked_in_time.as_secs_f32() / interval.as_secs_f32();
+        self.asked_in_time = Duration::ZERO;
+        self.offered_in_time += (sample - self.offered_in_time) * weight;
     }
 
     /// Returns the slots that all kinds together would keep busy.
@@ -206,9 +223,12 @@
             service,
             payload,
         };
-        let start = now + self.wait_ahead_of(&waiting, now);
-        if start + service > request.deadline {
-            let refusal = self.refusal(now, request.deadline);
+        if !waiting.is_late(now) {
+            self.asked_in_time += service;
+        }
+        let wait = self.wait_of(&waiting, now);
+        if now + wait + service > request.deadline {
+            let refusal = refusal(wait, request.deadline.saturating_sub(now));
             return Err((waiting.payload, refusal));
         }
         self.next_ticket += 1;
@@ -233,16 +253,27 @@
         Some((kind, started.payload))
     }
 
-    /// Removes the requests that cannot end before their deadline any more.
+    /// Removes the requests that cannot end before their deadline any more, for
+    /// want of time or of slots that work in time leaves over.
     pub fn refuse_hopeless(&mut self, now: Duration) -> Vec<(T, QueueRefusal)> {
+        self.waiting.sort_by_key(|entry| entry.turn(now));
         let mut refused = Vec::new();
-        while let Some(index) = self.waiting.iter().position(|entry| entry.is_hopeless(now)) {
-            let entry = self.waiting.swap_remove(index);
-            let refusal = QueueRefusal {
-                kind: ErrorKind::DeadlineBeforeStart,
-                ..self.refusal(now, entry.request.deadline)
-            };
-            refused.push((entry.payload, refusal));
+        let mut ahead = Duration::ZERO;
+        let spare = self.spare_slots();
+        for entry in std::mem::take(&mut self.waiting) {
+            let wait = ahead.div_f32(spare);
+            let left = entry.request.deadline.saturating_sub(now);
+            let starves = entry.is_late(now) && wait + entry.service > left;
+            if entry.is_hopeless(now) || starves {
+                let refusal = QueueRefusal {
+                    kind: ErrorKind::DeadlineBeforeStart,
+                    ..refusal(wait, left)
+                };
+                refused.push((entry.payload, refusal));
+            } else {
+                ahead += entry.service;
+                self.waiting.push(entry);
+            }
         }
         refused
     }
@@ -269,9 +300,18 @@
     }
 
     /// Predicts how long a request waits for its slot, behind all that go
-    /// before it.
-    fn wait_ahead_of(&self, request: &WaitingRequest<T>, now: Duration) -> Duration {
-        let turn = request.turn(now);
+    /// before it. One that starts too late to be in time goes behind all work
+    /// that is in time, the coming one too.
+    fn wait_of(&self, request: &WaitingRequest<T>, now: Duration) -> Duration {
+        let wait = self.wait_at(request.turn(now), now, self.slots as f32);
+        if !request.is_late(now + wait) {
+            return wait;
+        }
+        self.wait_at(request.turn_if(true), now, self.spare_slots())
+    }
+
+    /// Predicts the wait for one of `slots` at a turn.
+    fn wait_at(&self, turn: QueueTurn, now: Duration, slots: f32) -> Duration {
         let ahead = self.waiting.iter().filter(|entry| entry.turn(now) < turn);
         let (count, work) = ahead.fold((0, Duration::ZERO), |(count, work), entry| {
             (count + 1, work + entry.service)
@@ -280,17 +320,22 @@
             return Duration::ZERO;
         }
         // One of the running requests ends after a part of its service time.
-        (work + self.service) / self.slots
+        (work + self.service).div_f32(slots)
     }
 
-    fn refusal(&self, now: Duration, deadline: Duration) -> QueueRefusal {
-        let work: Duration = self.waiting.iter().map(|entry| entry.service).sum();
-        let drained = work / self.slots.max(1);
-        let left = deadline.saturating_sub(now);
-        QueueRefusal {
-            kind: ErrorKind::Overloaded,
-            retry_after: Some(drained.min(left / 3).clamp(RETRY_RANGE.0, RETRY_RANGE.1)),
-        }
+    /// Returns the slots that requests in time leave over.
+    fn spare_slots(&self) -> f32 {
+        let slots = self.slots.max(1) as f32;
+        (slots - self.offered_in_time).max(slots * LEAST_SPARE)
+    }
+}
+
+/// Returns a refusal of a request that would wait for `wait` while its caller
+/// waits for `left`.
+fn refusal(wait: Duration, left: Duration) -> QueueRefusal {
+    QueueRefusal {
+        kind: ErrorKind::Overloaded,
+        retry_after: Some(wait.min(left / 3).clamp(RETRY_RANGE.0, RETRY_RANGE.1)),
     }
 }
 
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -8,6 +8,7 @@
 //! one queue, and messages to it are the only synchronisation between requests.
 
 pub mod actor;
+pub mod caller_age;
 pub mod class_queue;
 pub mod class_state;
 pub mod deadline_queue;
--- a/src/ranges/holdings.rs
+++ b/src/ranges/holdings.rs
@@ -260,13 +260,6 @@
         }
     }
 
-    /// Takes keys back that were to be given away.
-    pub fn cancel_release(&mut self) {
-        for range in &mut self.ranges {
-            range.releasing = false;
-        }
-    }
-
     /// Returns the runs of keys from `first` to `last` that the upstream may
     /// hold, each under one fence.
     pub fn held_runs(&self, first: RangeKey, last: RangeKey) -> Vec<HeldRun> {
--- a/src/sidecar/dispatch.rs
+++ b/src/sidecar/dispatch.rs
@@ -31,6 +31,7 @@
 use super::verdict::is_misplaced;
 use super::verdict::was_offered;
 use super::verdict::with_retry;
+use crate::admission::caller_age::CallerDeadlines;
 use crate::base::boot_clock::since_boot;
 use crate::base::collections::FastMap;
 use crate::base::error::ErrorKind;
@@ -129,6 +130,8 @@
     service: ServiceName,
     subject: ChainSubject,
     arrived: Instant,
+    /// When the answer is due, counted from the caller's first attempt.
+    due: Instant,
     /// When the caller or the route gives up, whichever is first.
     deadline: Instant,
     /// When the caller gives up.
@@ -151,6 +154,8 @@
     numbers: RequestNumbers,
     links: Mutex<FastMap<Incarnation, CountedLink>>,
     allowances: Mutex<FastMap<ServiceName, RepeatAllowance>>,
+    /// What callers of each route name as their deadline.
+    deadlines: Mutex<FastMap<Box<str>, CallerDeadlines>>,
     active: Arc<AtomicU32>,
     last_arrival: Mutex<Instant>,
 }
@@ -172,6 +177,7 @@
             numbers: RequestNumbers::default(),
             links: Mutex::default(),
             allowances: Mutex::default(),
+            deadlines: Mutex::default(),
             active: Arc::default(),
             last_arrival: Mutex::new(Instant::now()),
         };
@@ -259,6 +265,7 @@
         } else {
             ChainSubject::Any
         };
+        let age = self.caller_age(&route.rule.name, request.deadline);
         let timeout = route.rule.timeout;
         let limit = request.deadline.map_or(timeout, |left| left.min(timeout));
         let planned = PlannedRequest {
@@ -267,6 +274,7 @@
             service,
             subject,
             arrived,
+            due: arrived + route.rule.target.saturating_sub(age),
             deadline: arrived + limit,
             caller_deadline: arrived + request.deadline.unwrap_or(limit),
         };
@@ -348,7 +356,6 @@
     async fn attempt(&self, planned: &PlannedRequest<'_>, target: OrderTarget) -> OrderResult {
         let now = Instant::now();
         let left = planned.deadline.saturating_duration_since(now);
-        let due = planned.arrived + planned.route.rule.target;
         let order = OrderRequest {
             chain: ChainKey {
                 service: planned.service.clone(),
@@ -357,7 +364,7 @@
             key: Box::default(),
             class: planned.route.rule.name.clone(),
             remaining: Some(left.saturating_sub(VERDICT_TIME)),
-            target: Some(due.saturating_duration_since(now)),
+            target: Some(planned.due.saturating_duration_since(now)),
             idempotency_key: None,
             attempt: 1,
             caller: self.shared.settings.service.clone(),
@@ -527,6 +534,19 @@
         drop(timeout_at(until, maps.changed()).await);
     }
 
+    /// Returns for how long the caller has been asking.
+    fn caller_age(&self, route: &str, left: Option<Duration>) -> Duration {
+        let Some(left) = left else {
+            return Duration::ZERO;
+        };
+        let deadlines = &self.shared.deadlines;
+        let mut deadlines = deadlines.lock().unwrap_or_else(PoisonError::into_inner);
+        match deadlines.get_mut(route) {
+            Some(known) => known.age(left),
+            None => deadlines.entry(route.into()).or_default().age(left),
+        }
+    }
+
     fn count_request(&self, service: &ServiceName) {
         let limits = &self.shared.settings.repeats;
         self.with_allowance(service, |allowance| {
--- a/src/sidecar/duties.rs
+++ b/src/sidecar/duties.rs
@@ -8,6 +8,7 @@
 use crate::base::ids::Incarnation;
 use crate::base::ids::Offset;
 use crate::base::ids::ServiceName;
+use crate::peers::message::MemberRecord;
 use crate::ranges::edit::HolderCandidate;
 use crate::ranges::edit::MapEdit;
 use crate::ranges::map::KeyRange;
@@ -36,7 +37,23 @@
     pub candidates: &'a [HolderCandidate],
 }
 
-impl DutyView<'_> {
+impl<'a> DutyView<'a> {
+    /// Creates the view of a process.
+    pub fn new(
+        own: &'a MemberRecord,
+        map: &'a RangeMap,
+        divided: &'a [ServiceName],
+        candidates: &'a [HolderCandidate],
+    ) -> Self {
+        Self {
+            own: own.incarnation,
+            service: &own.service,
+            map,
+            divided,
+            candidates,
+        }
+    }
+
     fn is_candidate(&self) -> bool {
         self.candidates
             .iter()
--- a/src/sidecar/keeper/changes.rs
+++ b/src/sidecar/keeper/changes.rs
@@ -110,13 +110,7 @@
         let divided = self.divided();
         let candidates = self.candidates(now);
         let own = self.fleet.own().clone();
-        let duties = DutyView {
-            own: own.incarnation,
-            service: &own.service,
-            map: &view.map,
-            divided: &divided,
-            candidates: &candidates,
-        };
+        let duties = DutyView::new(&own, &view.map, &divided, &candidates);
         let due = self
             .due_transfers(&duties, now)
             .or_else(|| duties.adopt_candidates())
--- a/src/sidecar/keeper/giving.rs
+++ b/src/sidecar/keeper/giving.rs
@@ -154,13 +154,7 @@
         let candidates = self.candidates(now);
         let divided = self.divided();
         let own = self.fleet.own();
-        let duties = DutyView {
-            own: own.incarnation,
-            service: &own.service,
-            map,
-            divided: &divided,
-            candidates: &candidates,
-        };
+        let duties = DutyView::new(own, map, &divided, &candidates);
         if let Some((part, newcomer)) = duties.share_for_newcomer() {
             return Some(vec![transfer_to(part.first, part.last, newcomer)]);
         }
--- a/tests/testsuite/deadline_queue.rs
+++ b/tests/testsuite/deadline_queue.rs
@@ -128,6 +128,64 @@
     assert_eq!(next(&mut queue, ms(300)), None);
 }
 
+/// Offers twice what one slot can do, all of it in time, for two seconds.
+/// Returns what was refused after it had waited, with its step of 50 ms.
+fn flood(queue: &mut DeadlineQueue<&'static str>) -> Vec<(u64, &'static str)> {
+    let mut refused = Vec::new();
+    for step in 0..40 {
+        let now = ms(50 * step);
+        let fresh = request(0, 50 * step + 400, 50 * step + 3_000);
+        let _taken = queue.offer(now, fresh, "flood");
+        queue.sample(ms(50), 0.1);
+        if step % 2 == 0 {
+            queue.finish(0, Some(ms(100)));
+            queue.start_next(now);
+        }
+        let hopeless = queue.refuse_hopeless(now).into_iter();
+        refused.extend(hopeless.map(|(name, _refusal)| (step, name)));
+    }
+    refused
+}
+
+/// One hot key asks for more than its upstream can do: what cannot be in time
+/// would wait until its deadline, and then be refused.
+#[test]
+fn a_late_request_is_refused_at_once_while_work_in_time_fills_the_slots() {
+    let mut queue = busy_queue();
+    flood(&mut queue);
+
+    let refused = queue.offer(ms(2_000), request(0, 2_050, 4_500), "late");
+
+    let (_name, refusal) = refused.expect_err("refused");
+    assert_eq!(refusal.kind, ErrorKind::Overloaded);
+    assert!(refusal.retry_after.is_some_and(|wait| wait >= ms(500)));
+}
+
+#[test]
+fn a_request_that_becomes_late_in_a_flood_does_not_wait_for_its_deadline() {
+    let mut queue = busy_queue();
+    queue
+        .offer(ms(0), request(0, 90, 3_500), "early")
+        .expect("room");
+
+    let refused = flood(&mut queue);
+
+    let early = refused.iter().find(|(_step, name)| *name == "early");
+    assert!(early.is_some_and(|(step, _name)| *step < 40), "{refused:?}");
+}
+
+#[test]
+fn a_late_request_waits_while_there_are_slots_to_spare() {
+    let mut queue = busy_queue();
+
+    queue
+        .offer(ms(0), request(0, 50, 1_000), "late")
+        .expect("room");
+
+    assert!(queue.refuse_hopeless(ms(60)).is_empty());
+    assert_eq!(next(&mut queue, ms(100)), Some("late"));
+}
+
 #[test]
 fn a_withdrawn_request_never_starts() {
     let mut queue = busy_queue();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod admission_scheduler;
 mod admission_sessions;
 mod bench_checks;
+mod caller_age;
 mod codec;
 mod configuration;
 mod deadline_queue;
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -18,6 +18,7 @@
 use winch_platform::configuration::RecordDecoder;
 use winch_platform::requests::failure_status;
 use winch_platform::requests::passed_headers;
+use winch_platform::settings::EXAMPLE_SETTINGS;
 use winch_platform::settings::parse_settings;
 use winch_platform::store::StoreClient;
 use winch_platform::store::decode_read;
@@ -35,6 +36,14 @@
     "platform": {"address": "10.200.1.7:8627"}
 }"#;
 
+#[test]
+fn the_printed_settings_can_be_used() {
+    let settings = parse_settings(EXAMPLE_SETTINGS).expect("valid settings");
+
+    assert_eq!(&*settings.sidecar.node, "sidecar-1");
+    assert_eq!(settings.addresses.store.port(), 7200);
+}
+
 const CONFIGURATION: &str = r#"{
     "version": 7,
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000, "headerTimeout": "3000ms", "idleTimeout": "15s"},
--- a/tests/testsuite/ranges_holdings.rs
+++ b/tests/testsuite/ranges_holdings.rs
@@ -134,17 +134,6 @@
     assert_eq!(holdings.held_runs(10, 19).len(), 1);
 }
 
-#[test]
-fn a_cancelled_release_takes_the_keys_back() {
-    let mut holdings = owner();
-    grant_all(&mut holdings, ms(0), ms(1_500));
-    holdings.begin_release(10, 19);
-
-    holdings.cancel_release();
-
-    assert_eq!(holdings.admit(15, ms(10)), KeyAdmission::Held);
-}
-
 #[test]
 fn what_is_kept_over_a_change_of_the_map_stays_usable() {
     let mut holdings = owner();
