--- a/crates/winch-soak/src/callers.rs
+++ b/crates/winch-soak/src/callers.rs
@@ -93,16 +93,16 @@
         }
     }
 
-    /// Asks for the keys of every part and places an order. Returns how many of
-    /// the requests were not served.
-    pub async fn ask_all(&mut self) -> usize {
-        let mut unserved = 0;
-        for step in 0..16_u16 {
-            let request = self.request("prices", Some(step * 4_000), None);
-            unserved += usize::from(!self.ask(request).await);
+    /// Asks for keys once each, or places an order where there is no key, and
+    /// removes what was served.
+    pub async fn ask_for(&mut self, unserved: &mut Vec<Option<u16>>) {
+        for key in std::mem::take(unserved) {
+            let route = if key.is_some() { "prices" } else { "orders" };
+            let request = self.request(route, key, None);
+            if !self.ask(request).await {
+                unserved.push(key);
+            }
         }
-        let request = self.request("orders", None, None);
-        unserved + usize::from(!self.ask(request).await)
     }
 
     fn draw(&mut self) -> (SentRequest, Option<u16>) {
--- a/crates/winch-soak/src/commands/run.rs
+++ b/crates/winch-soak/src/commands/run.rs
@@ -7,6 +7,8 @@
 use clap::Args;
 use comfy_table::Table;
 use eyre::WrapErr;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
 use winch_bench::fleet::process::sibling_program;
 use winch_soak::run::SoakReport;
 use winch_soak::run::SoakSettings;
@@ -69,7 +71,11 @@
             .sidecar(sidecar.clone())
             .directory(directory.path().into())
             .build();
-        let report = run_soak(&settings).await?;
+        // Leaving early ends the processes, too.
+        let report = tokio::select! {
+            report = run_soak(&settings) => report?,
+            () = interrupted() => eyre::bail!("seed {seed}: interrupted"),
+        };
         add_row(&mut table, seed, &report);
         if !report.violations.is_empty() {
             code = ExitCode::FAILURE;
@@ -89,6 +95,20 @@
     Ok(code)
 }
 
+/// Waits until this process is asked to end.
+async fn interrupted() {
+    let terminated = async {
+        match signal(SignalKind::terminate()) {
+            Ok(mut terminations) => drop(terminations.recv().await),
+            Err(_unsupported) => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        _signal = tokio::signal::ctrl_c() => {}
+        () = terminated => {}
+    }
+}
+
 fn add_row(table: &mut Table, seed: u64, report: &SoakReport) {
     let counts = report.counts;
     table.add_row([
--- a/crates/winch-soak/src/run.rs
+++ b/crates/winch-soak/src/run.rs
@@ -28,6 +28,9 @@
 /// Time after faults by which everything is served again: the platform's bound.
 const RECOVERY_TIME: Duration = Duration::from_secs(15);
 
+/// Parts of the keys that are looked at.
+const KEY_PARTS: u16 = 16;
+
 /// Pause between two looks whether everything is served.
 const RECOVERY_POLL: Duration = Duration::from_millis(50);
 
@@ -168,18 +171,20 @@
 /// long that took.
 async fn wait_until_served(checkers: &mut [SoakCaller], ledger: &SoakLedger) -> Duration {
     let started = Instant::now();
+    let keys = (0..KEY_PARTS).map(|part| Some(part * (u16::MAX / KEY_PARTS)));
+    let all: Vec<Option<u16>> = keys.chain([None]).collect();
+    let mut unserved = vec![all; checkers.len()];
     loop {
-        let mut unserved = 0;
-        for checker in &mut *checkers {
-            unserved += checker.ask_all().await;
+        for (checker, unserved) in checkers.iter_mut().zip(&mut unserved) {
+            checker.ask_for(unserved).await;
         }
         let took = started.elapsed();
-        if unserved == 0 {
+        if unserved.iter().all(Vec::is_empty) {
             return took;
         }
         if took > RECOVERY_TIME {
             ledger.violation(format!(
-                "RECOVER: {unserved} requests were not served {took:?} after the faults"
+                "RECOVER: not served {took:?} after the faults, by machine: {unserved:?}"
             ));
             return took;
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -48,6 +48,7 @@
 mod settings;
 mod slot_queue;
 mod snapshot;
+mod soak;
 mod standins;
 mod telemetry;
 mod transport_frames;
