admission, sidecar: spare slots from what started in time; another queue after a full one

Late work was now refused where it had waited, its callers were sent away for longer than their target, and callers that came back at once counted as work in time, so that there seemed to be nothing left over. Tests: deadline_queue, mesh_verdict.

--- a/src/admission/deadline_queue.rs
+++ b/src/admission/deadline_queue.rs
@@ -35,6 +35,11 @@
 /// demand is never so exact that there is nothing left over.
 const LEAST_SPARE: f32 = 0.05;
 
+/// The slots that are left over are smoothed over so many times the time of the
+/// other measures: late requests wait for seconds, and what a moment leaves over
+/// tells little of them.
+const SPARE_SLOWNESS: f32 = 4.0;
+
 /// Index of a kind of requests.
 pub type KindIndex = usize;
 
@@ -119,10 +124,11 @@
     waiting: Vec<WaitingRequest<T>>,
     service: Duration,
     kinds: Vec<RequestKind>,
-    /// Slot time that requests in time asked for since the last sample.
-    asked_in_time: Duration,
-    /// Smoothed slots that requests in time would keep busy.
-    offered_in_time: f32,
+    /// Slot time of the requests that started in time since the last sample.
+    /// What is refused takes no slots, however often it comes back.
+    started_in_time: Duration,
+    /// Smoothed slots that such requests keep busy.
+    busy_in_time: f32,
 }
 
 impl<T> DeadlineQueue<T> {
@@ -135,8 +141,8 @@
             waiting: Vec::new(),
             service: INITIAL_SERVICE,
             kinds: Vec::new(),
-            asked_in_time: Duration::ZERO,
-            offered_in_time: 0.0,
+            started_in_time: Duration::ZERO,
+            busy_in_time: 0.0,
         }
     }
 
@@ -166,9 +172,9 @@
             kind.asked = Duration::ZERO;
             kind.offered += (sample - kind.offered) * weight;
         }
-        let sample = self.asked_in_time.as_secs_f32() / interval.as_secs_f32();
-        self.asked_in_time = Duration::ZERO;
-        self.offered_in_time += (sample - self.offered_in_time) * weight;
+        let sample = self.started_in_time.as_secs_f32() / interval.as_secs_f32();
+        self.started_in_time = Duration::ZERO;
+        self.busy_in_time += (sample - self.busy_in_time) * weight / SPARE_SLOWNESS;
     }
 
     /// Returns the slots that all kinds together would keep busy.
@@ -223,12 +229,9 @@
             service,
             payload,
         };
-        if !waiting.is_late(now) {
-            self.asked_in_time += service;
-        }
         let wait = self.wait_of(&waiting, now);
         if now + wait + service > request.deadline {
-            let refusal = refusal(wait, request.deadline.saturating_sub(now));
+            let refusal = self.refusal(request.deadline.saturating_sub(now));
             return Err((waiting.payload, refusal));
         }
         self.next_ticket += 1;
@@ -250,6 +253,9 @@
         let started = self.waiting.swap_remove(next);
         let kind = started.request.kind;
         self.running += 1;
+        if !started.is_late(now) {
+            self.started_in_time += started.service;
+        }
         Some((kind, started.payload))
     }
 
@@ -260,6 +266,7 @@
         let mut refused = Vec::new();
         let mut ahead = Duration::ZERO;
         let spare = self.spare_slots();
+        let drained = self.drain_time();
         for entry in std::mem::take(&mut self.waiting) {
             let wait = ahead.div_f32(spare);
             let left = entry.request.deadline.saturating_sub(now);
@@ -267,7 +274,7 @@
             if entry.is_hopeless(now) || starves {
                 let refusal = QueueRefusal {
                     kind: ErrorKind::DeadlineBeforeStart,
-                    ..refusal(wait, left)
+                    ..refusal(drained, left)
                 };
                 refused.push((entry.payload, refusal));
             } else {
@@ -323,19 +330,30 @@
         (work + self.service).div_f32(slots)
     }
 
+    /// Returns how long the slots need for what waits.
+    fn drain_time(&self) -> Duration {
+        let work: Duration = self.waiting.iter().map(|entry| entry.service).sum();
+        work / self.slots.max(1)
+    }
+
+    fn refusal(&self, left: Duration) -> QueueRefusal {
+        refusal(self.drain_time(), left)
+    }
+
     /// Returns the slots that requests in time leave over.
     fn spare_slots(&self) -> f32 {
         let slots = self.slots.max(1) as f32;
-        (slots - self.offered_in_time).max(slots * LEAST_SPARE)
+        (slots - self.busy_in_time).max(slots * LEAST_SPARE)
     }
 }
 
-/// Returns a refusal of a request that would wait for `wait` while its caller
-/// waits for `left`.
-fn refusal(wait: Duration, left: Duration) -> QueueRefusal {
+/// Returns a refusal of a request whose caller waits for `left`, while what is
+/// in the queue needs `drained`. A caller that comes back when that is done may
+/// still be in time; one that is sent away for longer is late for certain.
+fn refusal(drained: Duration, left: Duration) -> QueueRefusal {
     QueueRefusal {
         kind: ErrorKind::Overloaded,
-        retry_after: Some(wait.min(left / 3).clamp(RETRY_RANGE.0, RETRY_RANGE.1)),
+        retry_after: Some(drained.min(left / 3).clamp(RETRY_RANGE.0, RETRY_RANGE.1)),
     }
 }
 
--- a/src/sidecar/dispatch.rs
+++ b/src/sidecar/dispatch.rs
@@ -29,6 +29,7 @@
 use super::upstream::UpstreamPort;
 use super::verdict::OWNER_RETRY;
 use super::verdict::is_misplaced;
+use super::verdict::tries_other_queue;
 use super::verdict::was_offered;
 use super::verdict::with_retry;
 use crate::admission::caller_age::CallerDeadlines;
@@ -295,16 +296,16 @@
         let rule = &planned.route.rule;
         let patience = planned.arrived + rule.target.mul_f64(OWNER_PATIENCE);
         let patience = patience.min(planned.deadline);
+        let is_keyed = matches!(planned.subject, ChainSubject::Slice(_));
         let mut failed_at = Vec::new();
         let mut may_have_run = None;
+        let mut turned_away = 0;
         loop {
             let result = match self.choose_target(planned, &failed_at) {
                 Some(target) => {
                     let result = self.attempt(planned, target).await;
-                    if let Err(failure) = &result
-                        && was_offered(failure)
-                    {
-                        *attempts += 1;
+                    if let Err(failure) = &result {
+                        *attempts += u32::from(was_offered(failure));
                         failed_at.push(target);
                     }
                     result
@@ -337,6 +338,11 @@
                     self.shared.metrics.repeats.inc();
                     continue;
                 }
+            } else if tries_other_queue(failure.kind, is_keyed, turned_away + 1)
+                && Instant::now() < patience
+            {
+                turned_away += 1;
+                continue;
             } else if is_misplaced(failure.kind) && Instant::now() < patience {
                 self.shared.metrics.owner_waits.inc();
                 self.wait_for_map(patience).await;
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -34,4 +34,4 @@
 pub mod process;
 pub mod settings;
 pub mod upstream;
-mod verdict;
+pub mod verdict;
--- a/src/sidecar/verdict.rs
+++ b/src/sidecar/verdict.rs
@@ -15,6 +15,21 @@
 /// service, at least and at most. Callers wait up to a third of it.
 const RETURN_PART: (f64, f64) = (0.2, 0.33);
 
+/// Queues that a request is offered to after the first has turned it away. Each
+/// is a hop through another process; with the one that placement picks first,
+/// one more finds the room that a few full queues hide.
+const OTHER_QUEUES: u32 = 1;
+
+/// Tells whether a request that a queue has turned away is offered to another
+/// one. It has reached no upstream, so that is no repeat.
+///
+/// The load pattern: some upstreams of a service are slow or silent and their
+/// queues full, while others have room that load reports do not show yet.
+pub fn tries_other_queue(kind: ErrorKind, is_keyed: bool, turned_away: u32) -> bool {
+    let full = matches!(kind, ErrorKind::Overloaded | ErrorKind::DeadlineBeforeStart);
+    full && !is_keyed && turned_away <= OTHER_QUEUES
+}
+
 /// Tells whether the request reached an upstream, or may have.
 pub(super) fn was_offered(failure: &OrderFailure) -> bool {
     matches!(
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod mesh_moves;
 mod mesh_path;
 mod mesh_upstream;
+mod mesh_verdict;
 mod model_check;
 mod node_handler;
 mod operator_pages;
