--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -45,6 +45,7 @@
 mod ranges_holdings;
 mod ranges_lease;
 mod ranges_map;
+mod ranges_walk;
 mod routes;
 mod settings;
 mod slot_queue;
--- /dev/null
+++ b/tests/testsuite/ranges_walk.rs
@@ -0,0 +1,392 @@
+//! Random walks through the rules of leases: a holder, its voters, a process
+//! that suspects it, and a store, with messages that are lost and delayed.
+//!
+//! Nobody else may be given the keys while the holder relies on its lease. Each
+//! rule is seen to be needed: without it, some walk breaks that.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use buckthornwinch::base::ids::Incarnation;
+use buckthornwinch::base::ids::Offset;
+use buckthornwinch::ranges::lease::HolderLease;
+use buckthornwinch::ranges::lease::RENEW_INTERVAL;
+use buckthornwinch::ranges::lease::VOTER_COUNT;
+use buckthornwinch::ranges::lease::VOTER_LEASE;
+use buckthornwinch::ranges::lease::quorum_of;
+use buckthornwinch::ranges::map::RangeVoter;
+use buckthornwinch::ranges::voter::VoterLedger;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+
+const HOLDER: Incarnation = 1;
+
+const VOTERS: usize = 5;
+
+const STEP: Duration = Duration::from_millis(20);
+
+/// Steps of a walk: twelve seconds.
+const STEPS: u32 = 600;
+
+const WALKS: u64 = 1_500;
+
+/// By how much clocks run fast or slow.
+const DRIFT: f64 = 0.02;
+
+/// Which rule is left out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LeftOut {
+    Nothing,
+    /// A voter waits for its lease before it refuses a holder.
+    VoterWait,
+    /// A voter that never heard of a term counts from the first question.
+    UnknownTerm,
+    /// A holder that names other voters counts no later promises.
+    Freeze,
+    /// A holder counts its lease from the sending of the renewal.
+    SentTime,
+    /// A change of the map is written only if nothing was written meanwhile.
+    Condition,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct MapRecord {
+    end: Offset,
+    term: Offset,
+    voters: Vec<Incarnation>,
+    owned: bool,
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    Renew(Incarnation, Offset, Duration),
+    Vote(Incarnation, Offset, Duration, bool),
+    Ask(Incarnation, Offset),
+    Lapsed(Incarnation, Offset),
+    NameVoters(Offset, Vec<Incarnation>),
+    Expel(Offset),
+}
+
+struct VoterProcess {
+    incarnation: Incarnation,
+    ledger: VoterLedger,
+    rate: f64,
+}
+
+struct LeaseWalk {
+    rng: StdRng,
+    left_out: LeftOut,
+    now: Duration,
+    holder_rate: f64,
+    store: MapRecord,
+    /// The map as the holder and the suspecting process know it.
+    known: [MapRecord; 2],
+    lease: HolderLease,
+    next_renewal: Duration,
+    /// Where the holder's open change of voters takes effect, if it does.
+    open_voters: Option<Offset>,
+    voters: Vec<VoterProcess>,
+    next_incarnation: Incarnation,
+    refused: BTreeSet<Incarnation>,
+    refused_term: Offset,
+    messages: Vec<(Duration, Message)>,
+    /// Messages in ten that arrive late.
+    late: u32,
+    is_holder_cut: bool,
+}
+
+fn named(voters: &[Incarnation]) -> Vec<RangeVoter> {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    voters
+        .iter()
+        .map(|incarnation| RangeVoter {
+            incarnation: *incarnation,
+            address,
+        })
+        .collect()
+}
+
+impl LeaseWalk {
+    fn new(seed: u64, left_out: LeftOut) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut drift = || rng.random_range(1.0 - DRIFT..=1.0 + DRIFT);
+        let holder_rate = drift();
+        let voters: Vec<VoterProcess> = (0..VOTERS)
+            .map(|number| VoterProcess {
+                incarnation: 10 + number as Incarnation,
+                ledger: VoterLedger::default(),
+                rate: drift(),
+            })
+            .collect();
+        let first: Vec<Incarnation> = voters.iter().map(|voter| voter.incarnation).collect();
+        let record = MapRecord {
+            end: 1,
+            term: 0,
+            voters: first[..VOTER_COUNT].to_vec(),
+            owned: true,
+        };
+        Self {
+            rng,
+            left_out,
+            now: Duration::ZERO,
+            holder_rate,
+            lease: HolderLease::new(0, &named(&record.voters), Duration::ZERO),
+            known: [record.clone(), record.clone()],
+            store: record,
+            next_renewal: Duration::ZERO,
+            open_voters: None,
+            voters,
+            next_incarnation: 100,
+            refused: BTreeSet::new(),
+            refused_term: 0,
+            messages: Vec::new(),
+            late: if seed.is_multiple_of(2) { 1 } else { 6 },
+            is_holder_cut: false,
+        }
+    }
+
+    fn holder_now(&self) -> Duration {
+        self.now.mul_f64(self.holder_rate)
+    }
+
+    /// Sends a message: most arrive soon, some late, some never.
+    fn send(&mut self, message: Message) {
+        let delay = match self.rng.random_range(0..10) {
+            0 => return,
+            part if part <= self.late => self.rng.random_range(0..3_000),
+            _ => self.rng.random_range(0..60),
+        };
+        let at = self.now + Duration::from_millis(delay);
+        self.messages.push((at, message));
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let due: Vec<Message> = self
+            .messages
+            .extract_if(.., |(at, _message)| *at <= now)
+            .map(|(_at, message)| message)
+            .collect();
+        for message in due {
+            self.take(message);
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Renew(voter, term, sent) => {
+                let now = self.now;
+                let Some(process) = self.voter(voter) else {
+                    return;
+                };
+                let local = now.mul_f64(process.rate);
+                let granted = process.ledger.renew(HOLDER, term, local);
+                self.send(Message::Vote(voter, term, sent, granted));
+            }
+            Message::Vote(voter, term, sent, granted) => {
+                if self.is_holder_cut {
+                    return;
+                }
+                let counted = if self.left_out == LeftOut::SentTime {
+                    self.holder_now()
+                } else {
+                    sent
+                };
+                if granted {
+                    self.lease.take_promise(voter, term, counted);
+                } else {
+                    self.lease.take_refusal(voter, term);
+                }
+            }
+            Message::Ask(voter, term) => {
+                let (now, left_out) = (self.now, self.left_out);
+                let Some(process) = self.voter(voter) else {
+                    return;
+                };
+                let local = now.mul_f64(process.rate);
+                let refuses = match left_out {
+                    LeftOut::VoterWait => {
+                        process.ledger.refuse_lapsed(HOLDER, term, local);
+                        process
+                            .ledger
+                            .refuse_lapsed(HOLDER, term, local + VOTER_LEASE)
+                    }
+                    LeftOut::UnknownTerm => {
+                        let mut fresh = process.ledger.clone();
+                        let knows = !fresh.refuse_lapsed(HOLDER, term, local)
+                            && process.ledger.renew(HOLDER, term, local)
+                            && term == 0;
+                        !knows || process.ledger.refuse_lapsed(HOLDER, term, local)
+                    }
+                    _ => process.ledger.refuse_lapsed(HOLDER, term, local),
+                };
+                if refuses {
+                    self.send(Message::Lapsed(voter, term));
+                }
+            }
+            Message::Lapsed(voter, term) => {
+                if term == self.refused_term {
+                    self.refused.insert(voter);
+                }
+            }
+            Message::NameVoters(at, voters) => {
+                if self.may_write(at) {
+                    self.store.term = self.store.end;
+                    self.store.voters = voters;
+                    self.store.end += 1;
+                }
+            }
+            Message::Expel(at) => {
+                if self.may_write(at) {
+                    self.store.owned = false;
+                    self.store.end += 1;
+                }
+            }
+        }
+    }
+
+    fn may_write(&self, at: Offset) -> bool {
+        self.store.owned && (at == self.store.end || self.left_out == LeftOut::Condition)
+    }
+
+    fn voter(&mut self, incarnation: Incarnation) -> Option<&mut VoterProcess> {
+        self.voters
+            .iter_mut()
+            .find(|voter| voter.incarnation == incarnation)
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.deliver();
+        match self.rng.random_range(0..400) {
+            0..=3 => self.is_holder_cut = !self.is_holder_cut,
+            4 | 5 => self.restart_voter(),
+            // Somebody else's record.
+            6..=9 => self.store.end += 1,
+            _ => {}
+        }
+        if !self.is_holder_cut {
+            self.step_holder();
+        }
+        self.step_suspecting();
+    }
+
+    fn restart_voter(&mut self) {
+        let index = self.rng.random_range(0..VOTERS);
+        self.voters[index].incarnation = self.next_incarnation;
+        self.voters[index].ledger = VoterLedger::default();
+        self.next_incarnation += 1;
+    }
+
+    fn step_holder(&mut self) {
+        let now = self.holder_now();
+        if self.rng.random_ratio(1, 15) {
+            self.known[0] = self.store.clone();
+            let record = &self.known[0];
+            if record.term != self.lease.term() {
+                self.lease = HolderLease::new(record.term, &named(&record.voters), now);
+                self.open_voters = None;
+            }
+            if self.open_voters.is_some_and(|at| record.end > at) {
+                self.open_voters = None;
+                self.lease.unfreeze();
+            }
+        }
+        if now >= self.next_renewal {
+            self.next_renewal = now + RENEW_INTERVAL;
+            let term = self.lease.term();
+            for voter in self.known[0].voters.clone() {
+                self.send(Message::Renew(voter, term, now));
+            }
+        }
+        let names = self.lease.needs_voters(now) && self.open_voters.is_none();
+        if names && self.rng.random_ratio(1, 4) {
+            if self.left_out != LeftOut::Freeze {
+                self.lease.freeze(now);
+            }
+            let live: Vec<Incarnation> = self.voters.iter().map(|one| one.incarnation).collect();
+            let voters = live.sample(&mut self.rng, VOTER_COUNT).copied().collect();
+            let at = self.known[0].end;
+            self.open_voters = Some(at);
+            self.send(Message::NameVoters(at, voters));
+        }
+    }
+
+    fn step_suspecting(&mut self) {
+        if self.rng.random_ratio(1, 15) {
+            self.known[1] = self.store.clone();
+        }
+        let MapRecord {
+            end, term, voters, ..
+        } = self.known[1].clone();
+        if self.refused_term != term {
+            self.refused_term = term;
+            self.refused.clear();
+        }
+        if self.rng.random_ratio(1, 8) {
+            for voter in &voters {
+                self.send(Message::Ask(*voter, term));
+            }
+        }
+        let refused = voters
+            .iter()
+            .filter(|voter| self.refused.contains(voter))
+            .count();
+        if refused >= quorum_of(voters.len()) && self.rng.random_ratio(1, 4) {
+            self.send(Message::Expel(end));
+        }
+    }
+
+    /// Tells whether the holder relies on a lease for keys that it has lost.
+    fn is_broken(&self) -> bool {
+        let relies = self
+            .lease
+            .valid_until()
+            .is_some_and(|until| self.holder_now() < until);
+        !self.store.owned && relies
+    }
+}
+
+/// Returns how many walks expelled the holder, and the seeds of those that broke
+/// the promise.
+fn explore(left_out: LeftOut) -> (usize, Vec<u64>) {
+    let mut expelled = 0;
+    let mut broken = Vec::new();
+    for seed in 0..WALKS {
+        let mut walk = LeaseWalk::new(seed, left_out);
+        let breaks = (0..STEPS).any(|_step| {
+            walk.step();
+            walk.is_broken()
+        });
+        expelled += usize::from(!walk.store.owned);
+        if breaks {
+            broken.push(seed);
+        }
+    }
+    (expelled, broken)
+}
+
+#[test]
+fn nobody_is_given_the_keys_of_a_holder_that_relies_on_its_lease() {
+    let (expelled, broken) = explore(LeftOut::Nothing);
+
+    assert_eq!(broken, Vec::<u64>::new());
+    assert!(expelled > 100, "only {expelled} walks get so far");
+}
+
+#[test]
+fn each_rule_of_leases_is_needed() {
+    for rule in [
+        LeftOut::VoterWait,
+        LeftOut::UnknownTerm,
+        LeftOut::Freeze,
+        LeftOut::SentTime,
+        LeftOut::Condition,
+    ] {
+        let (_expelled, broken) = explore(rule);
+
+        assert!(!broken.is_empty(), "{rule:?} is never missed");
+    }
+}
