--- a/src/sidecar/verdict.rs
+++ b/src/sidecar/verdict.rs
@@ -21,7 +21,8 @@
 const OTHER_QUEUES: u32 = 1;
 
 /// Tells whether a request that a queue has turned away is offered to another
-/// one. It has reached no upstream, so that is no repeat.
+/// one, after `turned_away` queues in all. It has reached no upstream, so that is
+/// no repeat.
 ///
 /// The load pattern: some upstreams of a service are slow or silent and their
 /// queues full, while others have room that load reports do not show yet.
