--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -42,6 +42,7 @@
 mod plan_batches;
 mod planner;
 mod platform;
+mod queue_replay;
 mod ranges_holdings;
 mod ranges_lease;
 mod ranges_map;
