--- a/crates/winch-soak/src/faults.rs
+++ b/crates/winch-soak/src/faults.rs
@@ -214,7 +214,6 @@
                 self.fleet.restart(machine, self.ledger)?;
             }
             (ProcessFault::Pause, FaultStep::Begin) => {
-                self.fleet.machines[machine].was_paused = true;
                 self.fleet.signal(machine, ProcessSignal::Stop)?;
             }
             (ProcessFault::Pause, FaultStep::End) => {
--- a/crates/winch-soak/src/fleet.rs
+++ b/crates/winch-soak/src/fleet.rs
@@ -59,8 +59,6 @@
     pub process: ChildProcess,
     /// Whether the sidecar is to run, as far as the faults go.
     pub runs: bool,
-    /// Whether the sidecar was stopped in this life.
-    pub was_paused: bool,
     /// The upstream; none while it is down.
     pub upstream: Option<KeyedStandin>,
     /// Name of the newest upstream.
@@ -199,7 +197,6 @@
             ports,
             process,
             runs: true,
-            was_paused: false,
             upstream: None,
             instance: Box::default(),
             upstream_lives: 0,
@@ -250,7 +247,6 @@
         let struck = &mut self.machines[machine];
         struck.process.restart()?;
         struck.runs = true;
-        struck.was_paused = false;
         ledger.start_life(machine);
         Ok(())
     }
@@ -294,8 +290,8 @@
         Ok(())
     }
 
-    /// Returns how long a grant at a machine's upstream may have been held up,
-    /// and excuses it until `until`.
+    /// Grants that reach a machine's upstream until then were held up by a fault
+    /// and are not held against their sender.
     pub fn excuse(&self, machine: MachineIndex, until: Instant) {
         self.world.excuse(&self.machines[machine].instance, until);
     }
--- a/crates/winch-soak/src/plan.rs
+++ b/crates/winch-soak/src/plan.rs
@@ -222,8 +222,8 @@
         self.rng.random_range(0..self.machines)
     }
 
-    /// Returns a machine that no other process or upstream fault has taken, or
-    /// any if all are.
+    /// Returns a machine that no other process or upstream fault has taken; none
+    /// if all are.
     fn fresh_machine(&mut self) -> Option<MachineIndex> {
         let free: Vec<MachineIndex> = (0..self.machines)
             .filter(|machine| !self.taken.contains(machine))
