--- a/crates/winch-soak/src/ledger.rs
+++ b/crates/winch-soak/src/ledger.rs
@@ -9,6 +9,7 @@
 use rustc_hash::FxHashMap;
 use tokio::time::Instant;
 use winch_standin::key_world::KeyWorld;
+use winch_standin::keyed_standin::answer_end;
 use winch_standin::keyed_standin::answer_signature;
 
 use crate::plan::MachineIndex;
@@ -242,7 +243,7 @@
         let SentRequest { id, path, .. } = request;
         match answer.status {
             200 => {
-                let whole = answer.body.ends_with(&format!(" ran {path} for {id}, end"));
+                let whole = answer.body.ends_with(&answer_end(path, id));
                 let signed = answer.signature.as_deref() == Some(&*answer_signature(id));
                 if !whole || !signed {
                     self.note(format!("MIXED: {id} for {path} got {answer:?}"));
--- a/crates/winch-standin/src/keyed_standin.rs
+++ b/crates/winch-standin/src/keyed_standin.rs
@@ -75,7 +75,12 @@
 
 /// Body of the answer to a request that ran at an instance.
 pub fn answer_body(instance: &str, path: &str, id: &str) -> String {
-    format!("{instance} ran {path} for {id}, end")
+    format!("{instance}{}", answer_end(path, id))
+}
+
+/// Returns what a whole answer to a request ends with, wherever it ran.
+pub fn answer_end(path: &str, id: &str) -> String {
+    format!(" ran {path} for {id}, end")
 }
 
 /// Signature of the answer to a request.
--- a/src/sidecar/verdict.rs
+++ b/src/sidecar/verdict.rs
@@ -27,8 +27,12 @@
 /// The load pattern: some upstreams of a service are slow or silent and their
 /// queues full, while others have room that load reports do not show yet.
 pub fn tries_other_queue(kind: ErrorKind, is_keyed: bool, turned_away: u32) -> bool {
-    let full = matches!(kind, ErrorKind::Overloaded | ErrorKind::DeadlineBeforeStart);
-    full && !is_keyed && turned_away <= OTHER_QUEUES
+    is_turned_away(kind) && !is_keyed && turned_away <= OTHER_QUEUES
+}
+
+/// Tells whether a queue had no slot for the request in time.
+fn is_turned_away(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::Overloaded | ErrorKind::DeadlineBeforeStart)
 }
 
 /// Tells whether the request reached an upstream, or may have.
@@ -65,11 +69,7 @@
     if failure.kind.answer().outcome != RequestOutcome::NotRun {
         return failure;
     }
-    let overloaded = matches!(
-        failure.kind,
-        ErrorKind::Overloaded | ErrorKind::DeadlineBeforeStart
-    );
-    if overloaded {
+    if is_turned_away(failure.kind) {
         let part = rand::rng().random_range(RETURN_PART.0..RETURN_PART.1);
         let told = failure.retry_after.unwrap_or_default();
         failure.retry_after = Some(told.max(left.mul_f64(part)));
