ranges: grants in answers to heartbeats

They report the keys that they hold in each heartbeat and take the keys they are to hold from its answer. The setting that says so was ignored, so a whole service went unserved.

Change: ranges::grants decides as before what the upstream is to hold, and grants::heartbeat states it as one answer with one hold time, bounded by the lease from the receipt of the heartbeat, since the hold counts from before that. Keys being moved are left out; they are free once a later heartbeat no longer holds them and no earlier answer can grant them any more, or once the last grant has expired. Leases last three heartbeats there (2.6 s), so that one lost heartbeat lapses nothing; elsewhere they stay at 1.5 s.

Ruled out: answering at once, which makes every new owner wait up to a heartbeat; leases of 1.5 s, which leave 0.2 s between the renewals.

--- a/src/ranges/lease.rs
+++ b/src/ranges/lease.rs
@@ -24,6 +24,40 @@
 /// A holder that has had no quorum for this long names other voters.
 const QUORUM_LOSS_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How much longer a voter's promise lasts than a holder relies on it, as a
+/// fraction of the latter. Covers clocks that run at different rates.
+const VOTER_MARGIN_DIVISOR: u32 = 15;
+
+/// How long holders rely on a voter's promise, and how long voters keep it. All
+/// processes of a fleet use the same times.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseTimes {
+    /// How long a holder relies on a promise, counted from the sending of the
+    /// renewal.
+    pub holder: Duration,
+    /// How long a voter keeps a promise, counted from the receipt of the renewal.
+    pub voter: Duration,
+}
+
+impl LeaseTimes {
+    /// Returns the times of a lease on which a holder relies for `holder`.
+    pub fn of_holder(holder: Duration) -> Self {
+        Self {
+            holder,
+            voter: holder + holder / VOTER_MARGIN_DIVISOR,
+        }
+    }
+}
+
+impl Default for LeaseTimes {
+    fn default() -> Self {
+        Self {
+            holder: HOLDER_LEASE,
+            voter: VOTER_LEASE,
+        }
+    }
+}
+
 /// Number of voters of a holder; fewer if the fleet has fewer other members.
 pub const VOTER_COUNT: usize = 3;
 
@@ -40,6 +74,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HolderLease {
     term: Offset,
+    times: LeaseTimes,
     /// When the holder learned of the term.
     started: Duration,
     promises: Vec<VoterPromise>,
@@ -59,12 +94,18 @@
         });
         Self {
             term,
+            times: LeaseTimes::default(),
             started: now,
             promises: promises.collect(),
             frozen_at: None,
         }
     }
 
+    /// Replaces the lease's times.
+    pub fn with_times(self, times: LeaseTimes) -> Self {
+        Self { times, ..self }
+    }
+
     /// Returns the term of the lease, which every renewal carries.
     pub fn term(&self) -> Offset {
         self.term
@@ -114,7 +155,7 @@
         let mut sent: Vec<Duration> = self.promises.iter().filter_map(|vote| vote.sent).collect();
         sent.sort_unstable_by(|left, right| right.cmp(left));
         let last_of_quorum = *sent.get(self.quorum().checked_sub(1)?)?;
-        Some(last_of_quorum + HOLDER_LEASE)
+        Some(last_of_quorum + self.times.holder)
     }
 
     /// Returns whether the holder should name other voters, because so many have
@@ -123,9 +164,9 @@
     pub fn needs_new_voters(&self, now: Duration) -> bool {
         let refused = self.promises.iter().filter(|vote| vote.refused).count();
         let lost_quorum = self.promises.len() - refused < self.quorum().max(1);
-        let renewed = self
-            .valid_until()
-            .map_or(self.started, |until| until.saturating_sub(HOLDER_LEASE));
+        let renewed = self.valid_until().map_or(self.started, |until| {
+            until.saturating_sub(self.times.holder)
+        });
         lost_quorum || now.saturating_sub(renewed.max(self.started)) > QUORUM_LOSS_TIMEOUT
     }
 
--- a/src/ranges/voter.rs
+++ b/src/ranges/voter.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::lease::VOTER_LEASE;
+use super::lease::LeaseTimes;
 use crate::base::collections::FastMap;
 use crate::base::ids::Incarnation;
 use crate::base::ids::Offset;
@@ -20,12 +20,22 @@
 /// another incarnation, which no holder has named as its voter yet.
 #[derive(Debug, Clone, Default)]
 pub struct VoterState {
+    times: LeaseTimes,
     records: FastMap<Incarnation, VoteRecord>,
 }
 
 impl VoterState {
+    /// Creates the state of a voter that keeps its promises for
+    /// [`LeaseTimes::voter`].
+    pub fn new(times: LeaseTimes) -> Self {
+        Self {
+            times,
+            records: FastMap::default(),
+        }
+    }
+
     /// Votes on a holder's renewal. `true` promises not to refuse the holder under
-    /// this term until [`VOTER_LEASE`] from now; `false` means that the voter has
+    /// this term until [`LeaseTimes::voter`] from now; `false` means that the voter has
     /// refused the holder under this term or knows a later one.
     pub fn renew(&mut self, holder: Incarnation, term: Offset, now: Duration) -> bool {
         let record = self.records.entry(holder).or_insert(VoteRecord {
@@ -66,7 +76,7 @@
                 refused: false,
             };
         }
-        if now.saturating_sub(record.renewed) >= VOTER_LEASE {
+        if now.saturating_sub(record.renewed) >= self.times.voter {
             record.refused = true;
         }
         record.refused
--- a/src/sidecar/controller/lapsed_holders.rs
+++ b/src/sidecar/controller/lapsed_holders.rs
@@ -5,7 +5,6 @@
 use super::LapseSuspicion;
 use super::RangeController;
 use crate::peers::message::PeerDatagram;
-use crate::ranges::lease::VOTER_LEASE;
 use crate::ranges::lease::quorum_of;
 use crate::ranges::map::RangeHolder;
 use crate::sidecar::upstream::UpstreamClient;
@@ -30,7 +29,7 @@
                 continue;
             }
             // Too soon after this sidecar's start to call a holder silent.
-            if now.saturating_sub(self.started) < VOTER_LEASE {
+            if now.saturating_sub(self.started) < self.settings.lease_times().voter {
                 continue;
             }
             let suspicion = self.suspicions.entry(holder.incarnation).or_default();
--- a/src/sidecar/controller/map_writes.rs
+++ b/src/sidecar/controller/map_writes.rs
@@ -12,7 +12,6 @@
 use crate::base::ids::Offset;
 use crate::peers::message::PeerDatagram;
 use crate::ranges::edit::MapEdit;
-use crate::ranges::lease::VOTER_LEASE;
 use crate::ranges::map::RangeMap;
 use crate::ranges::map::encode_map;
 use crate::sidecar::follow::MAP_KEY;
@@ -253,7 +252,7 @@
             && voters.len() == holder.voters.len();
         let may_be_refused = lease
             .valid_until()
-            .is_none_or(|until| now > until + VOTER_LEASE);
+            .is_none_or(|until| now > until + self.settings.lease_times().voter);
         if voters.is_empty() || (same && !may_be_refused) {
             return None;
         }
--- a/src/sidecar/controller/mod.rs
+++ b/src/sidecar/controller/mod.rs
@@ -9,6 +9,7 @@
 
 mod candidates;
 mod gate;
+mod heartbeats;
 mod lapsed_holders;
 mod map_writes;
 mod transfers;
@@ -42,6 +43,7 @@
 use crate::sidecar::metrics::SidecarMetrics;
 use crate::sidecar::moves::RangeMove;
 use crate::sidecar::moves::ReleaseRequest;
+use crate::sidecar::settings::GrantDelivery;
 use crate::sidecar::settings::SidecarSettings;
 use crate::sidecar::upstream::LocalUpstreamRegistry;
 use crate::sidecar::upstream::ReleaseOutcome;
@@ -51,6 +53,8 @@
 use crate::transport::datagram::DatagramSocket;
 
 pub use self::gate::RangeGate;
+pub use self::heartbeats::HeartbeatPort;
+pub use self::heartbeats::PendingHeartbeat;
 
 /// Maximum time between two steps; events trigger a step at once.
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
@@ -66,6 +70,8 @@
 pub enum ControllerEvent {
     /// A peer's datagram about leases or map writes, with the peer's address.
     Datagram(SocketAddr, PeerDatagram),
+    /// A heartbeat of the upstream, which the registry has accepted.
+    Heartbeat(PendingHeartbeat),
     /// The outcome of a grant, with the time at which the grant was sent.
     Granted(RangeGrant, Duration, GrantOutcome),
     /// The outcome of a release.
@@ -129,7 +135,7 @@
     leaving: watch::Receiver<bool>,
     #[builder(default)]
     grants: GrantTracker,
-    #[builder(default)]
+    #[builder(default = VoterState::new(settings.lease_times()))]
     voter_state: VoterState,
     /// This sidecar's lease; `None` while it is not a holder in the map.
     #[builder(skip)]
@@ -164,6 +170,12 @@
     /// The planned move in progress.
     #[builder(skip)]
     planned: Option<RangeMove>,
+    /// Heartbeats whose reports are not recorded yet.
+    #[builder(skip)]
+    arrived_heartbeats: Vec<PendingHeartbeat>,
+    /// The heartbeat that waits for its answer.
+    #[builder(skip)]
+    pending_heartbeat: Option<PendingHeartbeat>,
     /// Silent holders of this sidecar's service.
     #[builder(skip)]
     suspicions: FastMap<Incarnation, LapseSuspicion>,
@@ -213,6 +225,7 @@
     fn handle(&mut self, event: ControllerEvent) {
         match event {
             ControllerEvent::Datagram(from, datagram) => self.handle_datagram(from, &datagram),
+            ControllerEvent::Heartbeat(heartbeat) => self.arrived_heartbeats.push(heartbeat),
             ControllerEvent::Granted(grant, sent, outcome) => {
                 if outcome == GrantOutcome::Gone
                     && let Some(process_number) = self.seen_process
@@ -315,12 +328,16 @@
         let now = since_boot();
         self.follow_upstream();
         self.follow_map(now);
+        self.take_heartbeats();
         self.renew_lease(now);
-        self.send_grants(now);
+        if self.settings.grant_delivery == GrantDelivery::Calls {
+            self.send_grants(now);
+        }
         self.advance_move(now);
         self.check_silent_holders(now);
         self.change_map(now);
         self.plan_moves(now);
+        self.answer_heartbeat(now);
         self.gate.publish(&self.grants);
     }
 
@@ -385,7 +402,8 @@
         let known = self.lease.as_ref().map(HolderLease::term);
         match holder {
             Some(holder) if known != Some(holder.term) => {
-                self.lease = Some(HolderLease::new(holder.term, &holder.voters, now));
+                let lease = HolderLease::new(holder.term, &holder.voters, now);
+                self.lease = Some(lease.with_times(self.settings.lease_times()));
                 self.pending_voters = None;
                 self.next_renewal = now;
             }
--- a/src/sidecar/controller/transfers.rs
+++ b/src/sidecar/controller/transfers.rs
@@ -16,6 +16,7 @@
 use crate::sidecar::moves::MoveCause;
 use crate::sidecar::moves::RangeMove;
 use crate::sidecar::reconcile::MapReconciler;
+use crate::sidecar::settings::GrantDelivery;
 use crate::sidecar::upstream::LocalUpstream;
 use crate::sidecar::upstream::UpstreamClient;
 use crate::store::StateStore;
@@ -46,6 +47,11 @@
         let Some(planned) = &mut self.planned else {
             return;
         };
+        if self.settings.grant_delivery == GrantDelivery::Heartbeats {
+            planned.free_expired(&self.grants, now);
+            self.finish_move(now);
+            return;
+        }
         let present = upstream
             .as_ref()
             .is_some_and(|upstream| upstream.phase != UpstreamPhase::Absent);
--- a/src/sidecar/moves.rs
+++ b/src/sidecar/moves.rs
@@ -16,6 +16,8 @@
 use crate::ranges::edit::RangeTransfer;
 use crate::ranges::grants::GrantTracker;
 use crate::ranges::grants::GrantedRange;
+use crate::ranges::grants::heartbeat::HeldReport;
+use crate::ranges::grants::heartbeat::ReleasedRange;
 
 /// Reason for a move.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,6 +35,13 @@
     Closed,
     /// The release was sent.
     Releasing,
+    /// An answer to a heartbeat left the keys out.
+    LeftOut {
+        /// When the answer was sent.
+        at: Duration,
+        /// When the upstream's last grant of the keys has expired.
+        expires: Duration,
+    },
     /// The upstream does not hold the keys from this time on.
     Free {
         from: Duration,
@@ -154,6 +163,66 @@
         }
     }
 
+    /// Records that the answer to a heartbeat was sent at `now`, which leaves out
+    /// all keys of the move.
+    pub fn record_answer(&mut self, grants: &GrantTracker, now: Duration) {
+        for piece in &mut self.pieces {
+            if piece.state == PieceState::Closed {
+                piece.state = PieceState::LeftOut {
+                    at: now,
+                    expires: grants.latest_hold_end(piece.range.first, piece.range.last),
+                };
+            }
+        }
+    }
+
+    /// Records the report of a heartbeat that arrived at `received`. Keys that an
+    /// earlier answer left out and that the upstream no longer holds are free,
+    /// once no earlier answer can grant them any more.
+    pub fn record_report(
+        &mut self,
+        report: &HeldReport,
+        received: Duration,
+        grants: &GrantTracker,
+    ) {
+        let former = std::mem::take(&mut self.pieces);
+        for piece in former {
+            let (first, last) = (piece.range.first, piece.range.last);
+            let is_given_up = matches!(piece.state, PieceState::LeftOut { at, .. } if at < received)
+                && !report.holds_any(first, last);
+            if !is_given_up {
+                self.pieces.push(piece);
+                continue;
+            }
+            let from = grants.late_grant_until(first, last);
+            for (first, last, handover) in handovers(report, first, last) {
+                self.pieces.push(MovePiece {
+                    range: GrantedRange {
+                        first,
+                        last,
+                        ..piece.range
+                    },
+                    state: PieceState::Free { from, handover },
+                    ..piece
+                });
+            }
+        }
+    }
+
+    /// Frees closed keys that the upstream was never granted or whose grants have
+    /// expired.
+    pub fn free_expired(&mut self, grants: &GrantTracker, now: Duration) {
+        for piece in &mut self.pieces {
+            let hold_end = grants.latest_hold_end(piece.range.first, piece.range.last);
+            if piece.state == PieceState::Closed && hold_end <= now {
+                piece.state = PieceState::Free {
+                    from: hold_end,
+                    handover: None,
+                };
+            }
+        }
+    }
+
     /// Marks all keys as free, because the upstream has ended and holds
     /// nothing.
     pub fn mark_all_free(&mut self) {
@@ -178,8 +247,44 @@
                 fence_base: piece.range.fence_base,
                 handover: handover.clone(),
             }),
+            PieceState::LeftOut { expires, .. } if *expires <= now => Some(RangeTransfer {
+                first: piece.range.first,
+                last: piece.range.last,
+                target: piece.target,
+                fence_base: piece.range.fence_base,
+                handover: None,
+            }),
             _ => None,
         });
         transfers.collect()
     }
 }
+
+/// Splits the keys from `first` to `last` by the released ranges of a report, each
+/// part with the state that was handed over for it.
+fn handovers(
+    report: &HeldReport,
+    first: RangeKey,
+    last: RangeKey,
+) -> Vec<(RangeKey, RangeKey, Option<Box<str>>)> {
+    let mut released: Vec<&ReleasedRange> = report.released.iter().collect();
+    released.sort_by_key(|range| range.first);
+    let mut parts = Vec::new();
+    let mut next = u32::from(first);
+    for range in released {
+        let from = u32::from(range.first).max(next);
+        let to = u32::from(range.last).min(u32::from(last));
+        if from > to {
+            continue;
+        }
+        if next < from {
+            parts.push((next as RangeKey, (from - 1) as RangeKey, None));
+        }
+        parts.push((from as RangeKey, to as RangeKey, range.handover.clone()));
+        next = to + 1;
+    }
+    if next <= u32::from(last) {
+        parts.push((next as RangeKey, last, None));
+    }
+    parts
+}
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::controller::EVENT_QUEUE_CAPACITY;
+use super::controller::HeartbeatPort;
 use super::controller::RangeController;
 use super::controller::RangeGate;
 use super::dispatch::SidecarDispatcher;
@@ -86,6 +87,8 @@
     pub dispatcher: SidecarDispatcher<U>,
     /// State of the local upstream; takes its announcements.
     pub registry: LocalUpstreamRegistry,
+    /// Takes the upstream's reports of its keys, and answers them with grants.
+    pub heartbeats: HeartbeatPort,
     /// Metrics of this sidecar.
     pub metrics: SidecarMetrics,
     /// Cancelled during a shutdown, when callers' connections should be closed
@@ -182,6 +185,7 @@
             Arc::clone(&fleet),
             sender.clone(),
         ));
+        let heartbeats = HeartbeatPort::new(sender.clone(), settings.grant_delivery);
         let controller = RangeController::builder()
             .settings(Arc::clone(&settings))
             .fleet(Arc::clone(&fleet))
@@ -206,6 +210,7 @@
         Ok(Self {
             dispatcher,
             registry,
+            heartbeats,
             metrics,
             close_connections: CancellationToken::new(),
             settings,
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -6,6 +6,7 @@
 use crate::base::ids::FailureDomainName;
 use crate::base::ids::NodeName;
 use crate::base::ids::ServiceName;
+use crate::ranges::lease::LeaseTimes;
 
 /// The settings of one sidecar.
 #[derive(Debug, Clone, PartialEq)]
@@ -36,6 +37,38 @@
     pub max_grant_duration: Duration,
     /// Retry budget shared by all sidecars of the fleet.
     pub retry_limits: RetryLimits,
+    /// How grants of ranges reach the local upstream. Default: calls.
+    #[builder(default)]
+    pub grant_delivery: GrantDelivery,
+}
+
+/// Number of heartbeats of the upstream in one lease. Grants that travel in
+/// answers to heartbeats survive one that is lost.
+const HEARTBEATS_PER_LEASE: u32 = 3;
+
+impl SidecarSettings {
+    /// Returns how long leases on ranges last: long enough for the grants that
+    /// depend on them to be renewed in time.
+    pub fn lease_times(&self) -> LeaseTimes {
+        let times = LeaseTimes::default();
+        match self.grant_delivery {
+            GrantDelivery::Calls => times,
+            GrantDelivery::Heartbeats => {
+                let holder = self.announce_interval * HEARTBEATS_PER_LEASE;
+                LeaseTimes::of_holder(holder.max(times.holder))
+            }
+        }
+    }
+}
+
+/// How grants of ranges reach the local upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum GrantDelivery {
+    /// By a call to the upstream for each grant and each release.
+    #[default]
+    Calls,
+    /// In the answers to the upstream's heartbeats.
+    Heartbeats,
 }
 
 /// Limits on requests that are sent to a second upstream, for each service
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -176,19 +176,22 @@
         self.published.borrow().clone()
     }
 
-    /// Records an announcement; an outdated one is ignored.
-    pub fn announce(&self, announcement: &AnnouncedUpstream) {
+    /// Records an announcement and returns whether it is the newest. An outdated
+    /// one is ignored.
+    pub fn announce(&self, announcement: &AnnouncedUpstream) -> bool {
         let now = since_boot();
         let deregistered = is_deregistered(&self.deregistered(), announcement);
         let announcement = &AnnouncedUpstream {
             draining: announcement.draining || deregistered,
             ..announcement.clone()
         };
+        let mut is_newest = false;
         self.published.send_if_modified(|known| {
             let Some(merged) = merge_announcement(known.as_ref(), announcement, now, self.silence)
             else {
                 return false;
             };
+            is_newest = true;
             let changed = known.as_ref().is_none_or(|known| {
                 known.process_number != merged.process_number
                     || known.phase != merged.phase
@@ -199,6 +202,7 @@
             changed
         });
         self.log_change("announced");
+        is_newest
     }
 
     /// Records that an upstream deregistered: it finishes its requests and
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -44,6 +44,7 @@
 mod platform;
 mod queue_replay;
 mod ranges_grants;
+mod ranges_heartbeat;
 mod ranges_lease;
 mod ranges_map;
 mod ranges_walk;
