winch-standin, soak: upstreams that take keys from heartbeat answers

Change: the keyed stand-in reports what it holds, takes the keys of each answer and gives up what the answer leaves out once no request for them runs; the same invariant checker watches it.

--- a/crates/winch-soak/src/commands/run.rs
+++ b/crates/winch-soak/src/commands/run.rs
@@ -37,6 +37,9 @@
     /// Number of callers per machine
     #[arg(long, default_value_t = 3)]
     callers: u32,
+    /// Grant keys in the answers to the upstreams' heartbeats instead of by calls
+    #[arg(long)]
+    heartbeat_grants: bool,
     /// Program of the sidecar; by default the one in the directory of this program
     #[arg(long)]
     sidecar: Option<PathBuf>,
@@ -71,6 +74,7 @@
             .callers(args.callers)
             .sidecar(sidecar.clone())
             .directory(directory.path().into())
+            .grants_by_heartbeat(args.heartbeat_grants)
             .build();
         // An early return drops the fleet, which ends its processes.
         let report = tokio::select! {
--- a/crates/winch-soak/src/fleet.rs
+++ b/crates/winch-soak/src/fleet.rs
@@ -48,6 +48,9 @@
     pub sidecar: PathBuf,
     /// Directory for settings files and logs.
     pub directory: PathBuf,
+    /// Whether upstreams take their keys from the answers to their heartbeats, and
+    /// not by calls.
+    pub grants_by_heartbeat: bool,
 }
 
 /// One machine: a sidecar, its upstream and the relays between them and the others.
@@ -83,6 +86,7 @@
     pub checker: InvariantChecker,
     /// Relay of the datagrams between sidecars.
     pub datagrams: DatagramRelay,
+    grants_by_heartbeat: bool,
     version: u64,
 }
 
@@ -152,6 +156,7 @@
             store,
             checker,
             datagrams,
+            grants_by_heartbeat: settings.grants_by_heartbeat,
             version: 0,
         };
         fleet.change_configuration(ledger);
@@ -186,6 +191,11 @@
             .ports(ports)
             .upstream(upstream_link.address())
             .store(store_link.address())
+            .grants(if settings.grants_by_heartbeat {
+                "heartbeat"
+            } else {
+                "direct"
+            })
             .build()
             .text();
         let file = settings.directory.join(format!("{name}.json"));
@@ -230,6 +240,7 @@
             .announce_to(target.ports.announcements())
             .sharded(service_of(machine) == SHARDED_SERVICE)
             .at_most_once_prefix("/orders/")
+            .grants_by_heartbeat(self.grants_by_heartbeat)
             .build();
         target.upstream = Some(KeyedStandin::start(settings, checker)?);
         Ok(())
--- a/crates/winch-soak/src/run.rs
+++ b/crates/winch-soak/src/run.rs
@@ -61,6 +61,10 @@
     pub sidecar: PathBuf,
     /// Directory for the plan and for the processes' settings and logs.
     pub directory: PathBuf,
+    /// Whether upstreams take their keys from the answers to their heartbeats.
+    /// Default: false, by calls.
+    #[builder(default)]
+    pub grants_by_heartbeat: bool,
 }
 
 /// Results of a run.
@@ -90,6 +94,7 @@
         machines: settings.machines,
         sidecar: settings.sidecar.clone(),
         directory: settings.directory.clone(),
+        grants_by_heartbeat: settings.grants_by_heartbeat,
     };
     let mut fleet = SoakFleet::start(&fleet_settings, &ledger).await?;
     let mut probe_callers = machine_callers(&fleet, settings.seed, "check", &ledger);
--- a/crates/winch-standin/src/invariant_checker.rs
+++ b/crates/winch-standin/src/invariant_checker.rs
@@ -37,8 +37,13 @@
 
 impl GrantCall {
     fn hold(&self) -> Duration {
-        let text = self.hold_time.trim_end_matches("ms");
-        Duration::from_millis(text.parse().unwrap_or_default())
+        Self::hold_of(&self.hold_time)
+    }
+
+    /// Returns a hold time from its text; zero if it is empty.
+    pub fn hold_of(text: &str) -> Duration {
+        let number = text.trim_end_matches("ms");
+        Duration::from_millis(number.parse().unwrap_or_default())
     }
 }
 
--- a/crates/winch-standin/src/keyed_standin.rs
+++ b/crates/winch-standin/src/keyed_standin.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the upstream of a sidecar.
 //!
 //! It announces itself to the sidecar and accepts grants and releases of key
-//! ranges. If its service is sharded, it runs a request only while it holds the
+//! ranges, by calls or in the answers to its announcements. If its service is sharded, it runs a request only while it holds the
 //! key and answers 421 otherwise. Stand-ins that share an [`InvariantChecker`] are
 //! checked against each other.
 
@@ -25,12 +25,19 @@
 use warp::http::HeaderMap;
 use warp::http::Response;
 
+use crate::heartbeat_keys::HeartbeatKeys;
 use crate::invariant_checker::GrantCall;
 use crate::invariant_checker::InvariantChecker;
 use crate::invariant_checker::RequestStart;
 
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time between two announcements while keys are being given up.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Maximum wait for the answer to an announcement.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Factor by which a request runs longer whose path begins with `/slow/`.
 const SLOW_PATH_FACTOR: u32 = 20;
 
@@ -58,6 +65,10 @@
     /// of them.
     #[builder(default = "/", into)]
     pub at_most_once_prefix: Box<str>,
+    /// Whether it takes its keys from the answers to its heartbeats, and not by
+    /// calls. Default: false.
+    #[builder(default)]
+    pub grants_by_heartbeat: bool,
     /// Time that a request runs. Default: 5 ms.
     #[builder(default = Duration::from_millis(5))]
     pub service_time: Duration,
@@ -97,6 +108,7 @@
     checker: InvariantChecker,
     faults: Mutex<KeyedFaults>,
     draining: AtomicBool,
+    keys: HeartbeatKeys,
 }
 
 /// A running upstream. Dropping it simulates a crash.
@@ -131,6 +143,7 @@
             checker,
             faults: Mutex::default(),
             draining: AtomicBool::default(),
+            keys: HeartbeatKeys::default(),
         });
         let served = Arc::clone(&shared);
         runtime.spawn(async move {
@@ -179,19 +192,45 @@
     for number in 1_u64.. {
         let draining = shared.draining.load(Ordering::Relaxed);
         let state = if draining { "draining" } else { "ready" };
-        let body = json!({
+        let mut body = json!({
             "service": settings.service, "address": settings.announced_address, "zone": "a",
             "version": "v1", "slots": 8, "state": state, "coldRemaining": "0ms", "seq": number,
             "born": shared.started_unix_ms,
         });
+        let mut is_leaving = false;
+        if settings.grants_by_heartbeat {
+            let (holds, released, leaving) = shared.keys.report();
+            (body["holds"], body["released"], is_leaving) = (holds, released, leaving);
+        }
+        let sent = Instant::now();
+        let next = sent + ANNOUNCE_INTERVAL;
+        let call = client.post(&url).timeout(ANSWER_TIMEOUT).json(&body).send();
         // A sidecar that is down misses the announcement, as in production.
-        let response = client.post(&url).json(&body).send().await;
-        if draining && response.is_ok_and(|response| response.status().is_success()) {
-            shared
-                .checker
-                .record_drain(&settings.instance, Instant::now());
+        if let Some(answer) = call
+            .await
+            .ok()
+            .filter(|answer| answer.status().is_success())
+        {
+            if draining {
+                shared
+                    .checker
+                    .record_drain(&settings.instance, Instant::now());
+            }
+            if settings.grants_by_heartbeat {
+                match answer.json().await {
+                    Ok(answer) => {
+                        let (instance, checker) = (&settings.instance, &shared.checker);
+                        is_leaving |= shared.keys.apply(instance, checker, sent, &answer);
+                    }
+                    Err(error) => log::error!("upstream: answer is malformed: {error}"),
+                }
+            }
+        }
+        if is_leaving {
+            tokio::time::sleep(RELEASE_INTERVAL).await;
+        } else {
+            tokio::time::sleep_until(next).await;
         }
-        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
     }
 }
 
@@ -258,6 +297,7 @@
             Bytes::new(),
         );
     }
+    let _running = start.key.map(|key| RunningKey::begin(&shared.keys, key));
     let faults = *shared.faults.lock().unwrap_or_else(PoisonError::into_inner);
     let factor = if path.starts_with("/slow/") {
         SLOW_PATH_FACTOR
@@ -276,6 +316,25 @@
     reply(200, &headers, response_body(&settings.instance, path, id))
 }
 
+/// A key with a running request. Dropping it ends the request.
+struct RunningKey<'a> {
+    keys: &'a HeartbeatKeys,
+    key: u16,
+}
+
+impl<'a> RunningKey<'a> {
+    fn begin(keys: &'a HeartbeatKeys, key: u16) -> Self {
+        keys.begin_request(key);
+        Self { keys, key }
+    }
+}
+
+impl Drop for RunningKey<'_> {
+    fn drop(&mut self) {
+        self.keys.end_request(self.key);
+    }
+}
+
 fn reply(status: u16, headers: &[(&str, &str)], body: impl Into<Bytes>) -> Response<Bytes> {
     let mut builder = Response::builder().status(status);
     for (name, value) in headers {
--- a/crates/winch-standin/src/lib.rs
+++ b/crates/winch-standin/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod delay;
 pub mod echo;
+mod heartbeat_keys;
 pub mod invariant_checker;
 pub mod keyed_standin;
 pub mod log_standin;
--- a/crates/winch-standin/src/sidecar_files.rs
+++ b/crates/winch-standin/src/sidecar_files.rs
@@ -113,6 +113,9 @@
     /// 200 ms.
     #[builder(default = "200ms", into)]
     pub heartbeat: Box<str>,
+    /// How grants reach the upstream. Default: `direct`.
+    #[builder(default = "direct", into)]
+    pub grants: Box<str>,
     /// Time that the sidecar has to shut down, with the unit. Default: 3 s.
     #[builder(default = "3s", into)]
     pub grace: Box<str>,
@@ -125,6 +128,7 @@
         json!({
             "node": self.node, "ip": ports.peers().ip(), "zone": self.zone,
             "service": self.service, "heartbeat": self.heartbeat,
+            "grants": self.grants,
             "listen": {
                 "outbound": ports.callers(), "readiness": ports.readiness(),
                 "control": ports.announcements(),
--- a/src/ranges/lease.rs
+++ b/src/ranges/lease.rs
@@ -102,6 +102,7 @@
     }
 
     /// Replaces the lease's times.
+    #[must_use]
     pub fn with_times(self, times: LeaseTimes) -> Self {
         Self { times, ..self }
     }
--- a/src/sidecar/controller/heartbeats.rs
+++ b/src/sidecar/controller/heartbeats.rs
@@ -20,10 +20,14 @@
 use crate::sidecar::upstream::UpstreamClient;
 use crate::store::StateStore;
 
-/// How long an answer is kept back when there is nothing new to tell. The
+/// Longest time that an answer is kept back when there is nothing new to tell. The
 /// upstream waits one second for it, and this process may pause.
 const MAX_ANSWER_DELAY: Duration = Duration::from_millis(700);
 
+/// Part of the upstream's heartbeat interval that an answer is kept back at most,
+/// so that it never takes the place of the next heartbeat's.
+const ANSWER_DELAY_FRACTION: f64 = 0.8;
+
 /// Grants that expire within this time are renewed without waiting for news.
 const MIN_USABLE_TIME: Duration = Duration::from_millis(500);
 
@@ -134,8 +138,23 @@
         }
     }
 
+    /// Returns whether keys that are closed now can be released now. If the
+    /// upstream can be told only in the answer to its next heartbeat, it would hold
+    /// closed keys until then, so they stay open instead.
+    pub(super) fn can_release(&self) -> bool {
+        let is_present = self
+            .registry
+            .current()
+            .is_some_and(|upstream| upstream.phase != UpstreamPhase::Absent);
+        self.settings.grant_delivery == GrantDelivery::Calls
+            || self.pending_heartbeat.is_some()
+            || !is_present
+    }
+
     fn is_answer_due(&self, waiting: &PendingHeartbeat, now: Duration) -> bool {
-        if now >= waiting.received + MAX_ANSWER_DELAY {
+        let interval = self.settings.announce_interval;
+        let delay = MAX_ANSWER_DELAY.min(interval.mul_f64(ANSWER_DELAY_FRACTION));
+        if now >= waiting.received + delay {
             return true;
         }
         let is_ready = self
--- a/src/sidecar/controller/transfers.rs
+++ b/src/sidecar/controller/transfers.rs
@@ -104,7 +104,7 @@
                 .unwrap_or_else(PoisonError::into_inner)
                 .decay();
         }
-        if self.planned.is_some() || now < self.next_plan {
+        if self.planned.is_some() || now < self.next_plan || !self.can_release() {
             return;
         }
         self.next_plan = now + LOAD_CHECK_INTERVAL;
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -1,5 +1,6 @@
 //! Start and shutdown of one sidecar.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -132,15 +133,7 @@
             service = &*settings.service, domain = &*settings.domain;
             "process: starts"
         );
-        let listener = TcpListener::bind(settings.peers).await.wrap_err_with(|| {
-            format!(
-                "cannot bind {}; free the port or configure another one",
-                settings.peers
-            )
-        })?;
-        let socket = DatagramSocket::bind(settings.peers)
-            .await
-            .wrap_err_with(|| format!("cannot bind {} for UDP; free the port", settings.peers))?;
+        let (listener, socket) = bind_peers(settings.peers).await?;
         let fleet = Arc::new(FleetState::new(member.clone()));
         let metrics = SidecarMetrics::new();
         let registry = LocalUpstreamRegistry::new(settings.announce_interval);
@@ -275,6 +268,17 @@
     }
 }
 
+/// Binds the TCP listener and the datagram socket for other sidecars.
+async fn bind_peers(address: SocketAddr) -> eyre::Result<(TcpListener, DatagramSocket)> {
+    let listener = TcpListener::bind(address).await.wrap_err_with(|| {
+        format!("cannot bind {address}; free the port or configure another one")
+    })?;
+    let socket = DatagramSocket::bind(address)
+        .await
+        .wrap_err_with(|| format!("cannot bind {address} for UDP; free the port"))?;
+    Ok((listener, socket))
+}
+
 /// Returns the incarnation of the last process on this node, from the store.
 async fn former_incarnation<S: StateStore>(store: &S, node: &str) -> Option<Incarnation> {
     let page = timeout(STORE_START_TIMEOUT, store.newest(StoreTopic::Fleet)).await;
--- a/tests/testsuite/mesh_path.rs
+++ b/tests/testsuite/mesh_path.rs
@@ -34,6 +34,8 @@
 struct TestMachine {
     number: usize,
     ports: MachinePorts,
+    /// How grants reach its upstream, as the settings name it.
+    grants: &'static str,
 }
 
 impl TestMachine {
@@ -45,6 +47,7 @@
             .ports(self.ports)
             .upstream(self.ports.upstream())
             .store(store)
+            .grants(self.grants)
             .build()
             .text()
     }
@@ -92,7 +95,7 @@
     world: InvariantChecker,
     machines: Vec<TestMachine>,
     sidecars: Vec<Option<TestSidecar>>,
-    _upstreams: Vec<KeyedStandin>,
+    upstreams: Vec<KeyedStandin>,
     client: reqwest::Client,
     next_id: u32,
 }
@@ -104,6 +107,10 @@
 
 impl TestMesh {
     async fn start(count: u8) -> eyre::Result<Self> {
+        Self::start_with(count, "direct").await
+    }
+
+    async fn start_with(count: u8, grants: &'static str) -> eyre::Result<Self> {
         let store = StoreStandin::start().await?;
         store.put(
             OPERATOR_TOPIC,
@@ -114,7 +121,11 @@
         let machines: Vec<_> = free_machine_ports(NETWORK, count)
             .into_iter()
             .enumerate()
-            .map(|(number, ports)| TestMachine { number, ports })
+            .map(|(number, ports)| TestMachine {
+                number,
+                ports,
+                grants,
+            })
             .collect();
         let mut upstreams = Vec::new();
         for machine in &machines {
@@ -123,6 +134,7 @@
                 .service(SERVICE)
                 .address(machine.ports.upstream())
                 .announce_to(machine.ports.announcements())
+                .grants_by_heartbeat(grants == "heartbeat")
                 .build();
             upstreams.push(KeyedStandin::start(settings, world.clone())?);
         }
@@ -135,7 +147,7 @@
             world,
             machines,
             sidecars,
-            _upstreams: upstreams,
+            upstreams,
             client: reqwest::Client::builder()
                 .timeout(Duration::from_secs(3))
                 .build()?,
@@ -293,3 +305,56 @@
 
     mesh.check()
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_granted_in_heartbeats_survive_the_loss_and_return_of_an_owner() -> eyre::Result<()> {
+    let mut mesh = TestMesh::start_with(3, "heartbeat").await?;
+    mesh.wait_until_served(0).await.wrap_err("at the start")?;
+
+    mesh.kill(2);
+    mesh.wait_until_served(0).await.wrap_err("after a loss")?;
+    mesh.restart(2);
+    mesh.wait_until_served(2)
+        .await
+        .wrap_err("after a restart")?;
+
+    mesh.check()
+}
+
+/// Guards against keys that are lost with an upstream that drains: they are left
+/// out of its answers and go to the others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_granted_in_heartbeats_leave_a_draining_upstream() -> eyre::Result<()> {
+    let mut mesh = TestMesh::start_with(3, "heartbeat").await?;
+    mesh.wait_until_served(0).await.wrap_err("at the start")?;
+
+    mesh.upstreams[1].drain();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    mesh.wait_until_served(1)
+        .await
+        .wrap_err("while one upstream drains")?;
+
+    mesh.check()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_granted_in_heartbeats_are_served_while_the_store_is_silent() -> eyre::Result<()> {
+    let mut mesh = TestMesh::start_with(3, "heartbeat").await?;
+    mesh.wait_until_served(0).await.wrap_err("at the start")?;
+
+    mesh.store.set_faults(StoreFaults {
+        silent: true,
+        ..StoreFaults::default()
+    });
+    let silent_since = Instant::now();
+    while silent_since.elapsed() < Duration::from_secs(4) {
+        for step in 0..8 {
+            eyre::ensure!(
+                mesh.send(1, step * 8_000).await == 200,
+                "request failed while the store is silent"
+            );
+        }
+    }
+
+    mesh.check()
+}
