ranges: keys of a former process's last answer are not free yet

Change: for an upstream that was running when this process started, keys are free only once such an answer is too old and, without a release, once the former lease has run out. The tests' walks of an owner and an upstream with late, lost and crossed heartbeats and answers, slow clocks and restarts on both sides pass; five rules are shown to be needed by taking each out. A sixth, the order of report and answer, turned out to follow from the others and went.

--- a/src/ranges/grants/heartbeat.rs
+++ b/src/ranges/grants/heartbeat.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use super::CLOCK_DRIFT_PERCENT;
+use super::FormerGrants;
 use super::GrantTracker;
 use super::MAX_ARRIVAL_DELAY;
 use super::MIN_HOLD_TIME;
@@ -27,6 +28,10 @@
 /// waits one second for it.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Number of the first upstream process that a tracker sees; later ones started
+/// during its life.
+const FIRST_UPSTREAM_PROCESS: u64 = 1;
+
 /// Largest number of ranges in one answer, so that it fits into 4 KiB.
 pub const MAX_GRANTED_RANGES: usize = 64;
 
@@ -108,9 +113,19 @@
 
 impl GrantTracker {
     /// Records the report of a heartbeat that arrived at `received`. `lease` is
-    /// the longest time for which a former process at this address may have
-    /// granted keys that the upstream still holds under another fence.
+    /// the longest time for which a former process on this VM may have granted
+    /// keys.
+    ///
+    /// An upstream that was running when this process started may hold keys of the
+    /// former process, or be about to take them from its last answer, until it
+    /// has taken a grant under a higher fence.
     pub fn record_report(&mut self, report: &HeldReport, received: Duration, lease: Duration) {
+        if self.upstream_process == FIRST_UPSTREAM_PROCESS {
+            self.former_grants.get_or_insert(FormerGrants {
+                hold_until: received + lease,
+                answer_until: received + ANSWER_TIMEOUT + MAX_ARRIVAL_DELAY,
+            });
+        }
         let upstream_process = self.upstream_process;
         for range in &mut self.ranges {
             let fence = fence_of(range.fence_base, upstream_process);
@@ -120,9 +135,6 @@
             if is_lost {
                 range.usable_until = None;
             }
-            if !is_held && report.holds_any(range.first, range.last) {
-                range.latest_hold_end = range.latest_hold_end.max(received + lease);
-            }
             range.confirmed = is_held;
         }
     }
--- a/src/ranges/grants/mod.rs
+++ b/src/ranges/grants/mod.rs
@@ -122,6 +122,19 @@
     /// Number of upstream processes seen so far, which numbers the present one.
     upstream_process: u64,
     reachable: bool,
+    /// What a former process on this VM may have granted to an upstream that was
+    /// running when this process started; `None` if there is no such upstream or
+    /// it has not reported yet.
+    former_grants: Option<FormerGrants>,
+}
+
+/// Bounds on the grants of a former process on this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct FormerGrants {
+    /// When the last of them has expired.
+    hold_until: Duration,
+    /// When its last answer can no longer take effect.
+    answer_until: Duration,
 }
 
 impl GrantTracker {
@@ -189,6 +202,7 @@
             range.sent = None;
             range.confirmed = false;
         }
+        self.former_grants = None;
     }
 
     /// Returns the grants to send now and marks them as sent. `lease` is when the
@@ -306,15 +320,17 @@
     /// keys. A transfer waits for it even after the upstream has confirmed the
     /// release, since such a grant may arrive later. Zero if there is none.
     pub fn late_grant_until(&self, first: RangeKey, last: RangeKey) -> Duration {
+        let former = self.former_grants.map(|former| former.answer_until);
         let untils = self.inside(first, last).map(|range| range.late_grant_until);
-        untils.max().unwrap_or(Duration::ZERO)
+        untils.chain(former).max().unwrap_or(Duration::ZERO)
     }
 
     /// Returns when the upstream certainly no longer holds the keys, even if it
     /// confirms no release. Zero if it was granted none of them.
     pub fn latest_hold_end(&self, first: RangeKey, last: RangeKey) -> Duration {
+        let former = self.former_grants.map(|former| former.hold_until);
         let untils = self.inside(first, last).map(|range| range.latest_hold_end);
-        untils.max().unwrap_or(Duration::ZERO)
+        untils.chain(former).max().unwrap_or(Duration::ZERO)
     }
 
     fn inside(&self, first: RangeKey, last: RangeKey) -> impl Iterator<Item = &OwnedRange> {
--- a/src/sidecar/controller/heartbeats.rs
+++ b/src/sidecar/controller/heartbeats.rs
@@ -97,7 +97,7 @@
             self.grants
                 .record_report(&heartbeat.report, heartbeat.received, lease);
             if let Some(planned) = &mut self.planned {
-                planned.record_report(&heartbeat.report, heartbeat.received, &self.grants);
+                planned.record_report(&heartbeat.report, &self.grants);
             }
             if let Some(earlier) = self.pending_heartbeat.replace(heartbeat) {
                 // The upstream may have given up waiting.
@@ -129,7 +129,7 @@
         if let Some(set) = &answer {
             self.metrics.grants.inc();
             if let Some(planned) = &mut self.planned {
-                planned.record_answer(&self.grants, now);
+                planned.record_answer(&self.grants);
             }
             log::debug!(ranges = set.ranges.len(), hold_ms = set.hold.as_millis() as u64; "ranges: granted in a heartbeat's answer");
         }
--- a/src/sidecar/moves.rs
+++ b/src/sidecar/moves.rs
@@ -37,8 +37,6 @@
     Releasing,
     /// An answer to a heartbeat left the keys out.
     LeftOut {
-        /// When the answer was sent.
-        at: Duration,
         /// When the upstream's last grant of the keys has expired.
         expires: Duration,
     },
@@ -163,33 +161,27 @@
         }
     }
 
-    /// Records that the answer to a heartbeat was sent at `now`, which leaves out
-    /// all keys of the move.
-    pub fn record_answer(&mut self, grants: &GrantTracker, now: Duration) {
+    /// Records that the answer to a heartbeat was sent, which leaves out all keys of
+    /// the move.
+    pub fn record_answer(&mut self, grants: &GrantTracker) {
         for piece in &mut self.pieces {
             if piece.state == PieceState::Closed {
                 piece.state = PieceState::LeftOut {
-                    at: now,
                     expires: grants.latest_hold_end(piece.range.first, piece.range.last),
                 };
             }
         }
     }
 
-    /// Records the report of a heartbeat that arrived at `received`. Keys that an
-    /// earlier answer left out and that the upstream no longer holds are free,
-    /// once no earlier answer can grant them any more.
-    pub fn record_report(
-        &mut self,
-        report: &HeldReport,
-        received: Duration,
-        grants: &GrantTracker,
-    ) {
+    /// Records the report of a heartbeat. Keys that an earlier answer left out and
+    /// that the upstream no longer holds are free, once no earlier answer can grant
+    /// them any more.
+    pub fn record_report(&mut self, report: &HeldReport, grants: &GrantTracker) {
         let former = std::mem::take(&mut self.pieces);
         for piece in former {
             let (first, last) = (piece.range.first, piece.range.last);
-            let is_given_up = matches!(piece.state, PieceState::LeftOut { at, .. } if at < received)
-                && !report.holds_any(first, last);
+            let is_given_up =
+                matches!(piece.state, PieceState::LeftOut { .. }) && !report.holds_any(first, last);
             if !is_given_up {
                 self.pieces.push(piece);
                 continue;
@@ -247,7 +239,7 @@
                 fence_base: piece.range.fence_base,
                 handover: handover.clone(),
             }),
-            PieceState::LeftOut { expires, .. } if *expires <= now => Some(RangeTransfer {
+            PieceState::LeftOut { expires } if *expires <= now => Some(RangeTransfer {
                 first: piece.range.first,
                 last: piece.range.last,
                 target: piece.target,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod figures;
 mod fold;
 mod handover;
+mod heartbeat_walk;
 mod hotkeys;
 mod load_balancing;
 mod log_client;
--- a/tests/testsuite/ranges_heartbeat.rs
+++ b/tests/testsuite/ranges_heartbeat.rs
@@ -34,11 +34,12 @@
     }
 }
 
-/// Returns the tracker of an owner of keys 0 to 99 with the first process of its
-/// upstream.
+/// Returns the tracker of an owner of keys 0 to 99 whose upstream started during
+/// its life.
 fn new_tracker() -> GrantTracker {
     let mut tracker = GrantTracker::default();
     tracker.upstream_started();
+    tracker.upstream_started();
     tracker.update_owned(&[range(0, 99, 10, None)]);
     tracker
 }
@@ -158,19 +159,14 @@
 }
 
 /// Guards against a move right after a restart of this process: its upstream may
-/// still hold the keys by a grant of the former process.
+/// still hold the keys by a grant of the former process, or take them by an answer
+/// of that process that is on its way.
 #[test]
 fn keys_granted_by_a_former_process_are_not_free_before_they_expire() {
-    let mut tracker = new_tracker();
-    let report = HeldReport {
-        holds: vec![HeldRange {
-            first: 0,
-            last: 99,
-            fence: 4,
-        }],
-        released: Vec::new(),
-    };
-    tracker.record_report(&report, ms(100), FORMER_LEASE);
+    let mut tracker = GrantTracker::default();
+    tracker.upstream_started();
+    tracker.record_report(&HeldReport::default(), ms(100), FORMER_LEASE);
+    tracker.update_owned(&[range(0, 99, 10, None)]);
     let mut planned = begin_move(&mut tracker, 0, 99);
 
     planned.free_expired(&tracker, ms(2_699));
@@ -185,14 +181,14 @@
     let (mut tracker, set) = granted();
     let mut planned = begin_move(&mut tracker, 20, 29);
     tracker.record_report(&report_of(&set), ms(870), FORMER_LEASE);
-    planned.record_report(&report_of(&set), ms(870), &tracker);
+    planned.record_report(&report_of(&set), &tracker);
     assert!(tracker.differs_from(&report_of(&set)));
     assert_eq!(tracker.admit(25, ms(870)), KeyAdmission::NotOwned);
 
     let answer = tracker
         .answer_heartbeat(ms(870), ms(880), ms(3_400))
         .expect("a lease is left");
-    planned.record_answer(&tracker, ms(880));
+    planned.record_answer(&tracker);
     let spans: Vec<_> = answer
         .ranges
         .iter()
@@ -200,7 +196,7 @@
         .collect();
     assert_eq!(spans, [(0, 19), (30, 99)]);
 
-    planned.record_report(&report_of(&set), ms(980), &tracker);
+    planned.record_report(&report_of(&set), &tracker);
     assert_eq!(
         planned.transfers(ms(980)),
         None,
@@ -208,7 +204,7 @@
     );
     let mut report = report_of(&answer);
     report.released = vec![released(20, 29, "state")];
-    planned.record_report(&report, ms(1_080), &tracker);
+    planned.record_report(&report, &tracker);
     let transfers = planned.transfers(ms(1_080)).expect("free");
     assert_eq!(transfers[0].handover.as_deref(), Some("state"));
 }
@@ -219,9 +215,9 @@
 fn released_keys_wait_for_an_answer_that_may_still_grant_them() {
     let (mut tracker, _set) = granted();
     let mut planned = begin_move(&mut tracker, 0, 99);
-    planned.record_answer(&tracker, ms(100));
+    planned.record_answer(&tracker);
 
-    planned.record_report(&HeldReport::default(), ms(200), &tracker);
+    planned.record_report(&HeldReport::default(), &tracker);
 
     assert_eq!(planned.transfers(ms(900)), None);
     assert!(planned.transfers(ms(1_100)).is_some());
@@ -232,8 +228,8 @@
     let (mut tracker, _set) = granted();
     let mut planned = begin_move(&mut tracker, 20, 29);
 
-    planned.record_report(&HeldReport::default(), ms(870), &tracker);
-    planned.record_answer(&tracker, ms(880));
+    planned.record_report(&HeldReport::default(), &tracker);
+    planned.record_answer(&tracker);
 
     assert_eq!(planned.transfers(ms(2_000)), None);
 }
@@ -242,7 +238,7 @@
 fn moved_keys_of_a_silent_upstream_are_free_once_the_hold_has_expired() {
     let (mut tracker, _set) = granted();
     let mut planned = begin_move(&mut tracker, 20, 29);
-    planned.record_answer(&tracker, ms(880));
+    planned.record_answer(&tracker);
 
     assert_eq!(planned.transfers(ms(2_599)), None);
     let transfers = planned.transfers(ms(2_600)).expect("free");
@@ -253,13 +249,13 @@
 fn each_released_part_keeps_its_own_state() {
     let (mut tracker, _set) = granted();
     let mut planned = begin_move(&mut tracker, 20, 39);
-    planned.record_answer(&tracker, ms(880));
+    planned.record_answer(&tracker);
     let report = HeldReport {
         holds: Vec::new(),
         released: vec![released(10, 29, "low"), released(35, 50, "high")],
     };
 
-    planned.record_report(&report, ms(1_080), &tracker);
+    planned.record_report(&report, &tracker);
 
     let transfers = planned.transfers(ms(1_080)).expect("free");
     let parts: Vec<_> = transfers
