sidecar: later processes answer for the voters that they replaced

Change: a process answers questions about a lease that are addressed to a former process at its address. That one has ended and promises nothing; what it promised last has run out by the time the lease counts as lapsed, because the time runs from the first question, as for a term that a voter never heard of. The walks of the lease protocol have such voters now.

--- a/src/sidecar/controller/mod.rs
+++ b/src/sidecar/controller/mod.rs
@@ -295,7 +295,9 @@
                 holder,
                 term,
                 ..
-            } if voter == own && self.voter_state.refuse_if_lapsed(holder, term, now) => {
+            } if self.votes_for(voter, holder)
+                && self.voter_state.refuse_if_lapsed(holder, term, now) =>
+            {
                 self.socket.send(
                     from,
                     &PeerDatagram::Lapsed {
--- a/tests/testsuite/mesh_path.rs
+++ b/tests/testsuite/mesh_path.rs
@@ -306,6 +306,27 @@
     mesh.check()
 }
 
+/// Guards against keys that stay without service: the only voters who could refuse
+/// the lost owner have all been replaced by later processes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_of_a_lost_owner_are_served_again_after_all_its_voters_restart() -> eyre::Result<()> {
+    let mut mesh = TestMesh::start(4).await?;
+    mesh.wait_until_served(0).await.wrap_err("at the start")?;
+
+    for machine in 0..4 {
+        mesh.kill(machine);
+    }
+    drop(mesh.upstreams.pop());
+    for machine in 0..3 {
+        mesh.restart(machine);
+    }
+    mesh.wait_until_served(1)
+        .await
+        .wrap_err("with one owner lost and the others restarted")?;
+
+    mesh.check()
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn keys_granted_in_heartbeats_survive_the_loss_and_return_of_an_owner() -> eyre::Result<()> {
     let mut mesh = TestMesh::start_with(3, "heartbeat").await?;
--- a/tests/testsuite/ranges_heartbeat.rs
+++ b/tests/testsuite/ranges_heartbeat.rs
@@ -299,7 +299,7 @@
     let held = tracker
         .answer_heartbeat(ms(0), ms(0), ms(2_600))
         .expect("a lease is left");
-    let mut owned: Vec<KeyRange> = (0..100)
+    let mut owned: Vec<KeyRange> = (0..200)
         .map(|number| range(number * 10, number * 10 + 4, 11, None))
         .collect();
     owned.push(range(60_000, 60_009, 10, None));
--- a/tests/testsuite/ranges_walk.rs
+++ b/tests/testsuite/ranges_walk.rs
@@ -73,6 +73,8 @@
 
 struct VoterProcess {
     incarnation: Incarnation,
+    /// Former processes at the same address, for which it answers questions.
+    former: Vec<Incarnation>,
     ledger: VoterState,
     rate: f64,
 }
@@ -121,6 +123,7 @@
         let voters: Vec<VoterProcess> = (0..VOTERS)
             .map(|number| VoterProcess {
                 incarnation: 10 + number as Incarnation,
+                former: Vec::new(),
                 ledger: VoterState::default(),
                 rate: drift(),
             })
@@ -207,7 +210,10 @@
             }
             Message::Ask(voter, term) => {
                 let (now, disabled) = (self.now, self.disabled);
-                let Some(process) = self.voter(voter) else {
+                let answers = |process: &&mut VoterProcess| {
+                    process.incarnation == voter || process.former.contains(&voter)
+                };
+                let Some(process) = self.voters.iter_mut().find(answers) else {
                     return;
                 };
                 let local = now.mul_f64(process.rate);
@@ -280,8 +286,10 @@
 
     fn restart_voter(&mut self) {
         let index = self.rng.random_range(0..VOTERS);
-        self.voters[index].incarnation = self.next_incarnation;
-        self.voters[index].ledger = VoterState::default();
+        let process = &mut self.voters[index];
+        process.former.push(process.incarnation);
+        process.incarnation = self.next_incarnation;
+        process.ledger = VoterState::default();
         self.next_incarnation += 1;
     }
 
