sidecar: a starting fleet reports to single peers

Reading what grows with the fleet: each first report of a member made every other one report to all peers at once, so that a start of n members sends n^3 reports, held back only by 25 ms a burst (296 members: 11,800 datagrams a second each). And every step of every holder chose voters for all candidates, sorting 296 members by a hash for each of 123, only to throw them away.

Change: a member that is new or asks who this is gets a report of its own, nobody else does. A new configuration is told to 16 random peers, each of which tells as many. Voters are chosen for candidates that become holders. The oldest candidate adopts those that start with it, the others wait their turn. Members are found by incarnation without a scan.

--- a/src/peers/directory.rs
+++ b/src/peers/directory.rs
@@ -8,6 +8,7 @@
 use super::message::PeerReport;
 use super::message::UpstreamGauge;
 use super::message::UpstreamPhase;
+use crate::base::collections::FastMap;
 use crate::base::ids::Incarnation;
 use crate::base::ids::NodeName;
 use crate::base::ids::Offset;
@@ -23,10 +24,10 @@
 pub enum ReportOutcome {
     /// Nothing: the sender is not known, and the report has no member record.
     UnknownSender,
-    /// Nothing that calls for a report of this process ahead of schedule.
+    /// Nothing that calls for a report to the member ahead of schedule.
     Unchanged,
     /// The member is new or reports for the first time, or it started or stopped
-    /// accepting requests. This process should report at once.
+    /// accepting requests. This process should report to it at once.
     Changed,
 }
 
@@ -78,6 +79,8 @@
 pub struct PeerDirectory {
     own: Incarnation,
     peers: BTreeMap<NodeName, KnownPeer>,
+    /// Nodes of the members in `peers`.
+    nodes: FastMap<Incarnation, NodeName>,
 }
 
 impl PeerDirectory {
@@ -86,6 +89,7 @@
         Self {
             own,
             peers: BTreeMap::new(),
+            nodes: FastMap::default(),
         }
     }
 
@@ -100,13 +104,19 @@
             return false;
         }
         let node = member.node.clone();
-        self.peers.insert(node, KnownPeer::announced(member));
+        self.nodes.insert(member.incarnation, node.clone());
+        let former = self.peers.insert(node, KnownPeer::announced(member));
+        if let Some(former) = former {
+            self.nodes.remove(&former.member.incarnation);
+        }
         true
     }
 
     /// Removes the member of a node that has left the fleet.
     pub fn remove(&mut self, node: &str) {
-        self.peers.remove(node);
+        if let Some(former) = self.peers.remove(node) {
+            self.nodes.remove(&former.member.incarnation);
+        }
     }
 
     /// Records a report that was received at `now`. One with a smaller sequence
@@ -119,8 +129,8 @@
         let is_new = report
             .member
             .is_some_and(|member| self.record_member(member));
-        let mut known = self.peers.values_mut();
-        let Some(peer) = known.find(|peer| peer.member.incarnation == incarnation) else {
+        let node = self.nodes.get(&incarnation);
+        let Some(peer) = node.and_then(|node| self.peers.get_mut(node)) else {
             return ReportOutcome::UnknownSender;
         };
         if peer.sequence > report.sequence {
@@ -158,9 +168,12 @@
 
     /// Returns the member with an incarnation; `None` if it is not known.
     pub fn find(&self, incarnation: Incarnation) -> Option<&KnownPeer> {
-        self.peers
-            .values()
-            .find(|peer| peer.member.incarnation == incarnation)
+        self.peers.get(self.nodes.get(&incarnation)?)
+    }
+
+    /// Returns the number of known members, without this process.
+    pub fn count(&self) -> usize {
+        self.peers.len()
     }
 
     /// Returns whether a member's newest report is fresh at `now`, where
--- a/src/ranges/lease.rs
+++ b/src/ranges/lease.rs
@@ -195,7 +195,7 @@
     score: impl Fn(Incarnation) -> u64,
 ) -> Vec<RangeVoter> {
     let mut sorted: Vec<(RangeVoter, &str)> = candidates.collect();
-    sorted.sort_unstable_by_key(|(candidate, _domain)| score(candidate.incarnation));
+    sorted.sort_by_cached_key(|(candidate, _domain)| score(candidate.incarnation));
     let mut chosen: Vec<(RangeVoter, &str)> = Vec::new();
     while chosen.len() < VOTER_COUNT && !sorted.is_empty() {
         let in_domain = |domain: &str| chosen.iter().filter(|(_, used)| *used == domain).count();
--- a/src/sidecar/controller/candidates.rs
+++ b/src/sidecar/controller/candidates.rs
@@ -32,7 +32,8 @@
     }
 
     /// Returns the live sidecars, including this one, that may own ranges:
-    /// their upstream takes requests and serves a sharded service.
+    /// their upstream takes requests and serves a sharded service. Their voters are
+    /// chosen only when they become holders.
     pub(super) fn candidates(&self, now: Duration) -> Vec<HolderCandidate> {
         let sharded = self.sharded_services();
         let own = self.fleet.own();
@@ -47,7 +48,7 @@
                 .live(now, interval)
                 .filter(|peer| peer.accepts_requests());
             let members = ready_peers.map(|peer| peer.member.clone()).collect();
-            (members, directory.peers().count(), live)
+            (members, directory.count(), live)
         };
         let may_name_voters =
             live >= known.min(VOTER_COUNT) || now.saturating_sub(self.started) > PEER_WAIT;
@@ -60,7 +61,7 @@
             .map(|member| HolderCandidate {
                 incarnation: member.incarnation,
                 address: member.address,
-                voters: self.choose_voters(member.incarnation, now),
+                voters: Vec::new(),
                 service: member.service,
                 domain: member.domain,
             })
--- a/src/sidecar/controller/map_writes.rs
+++ b/src/sidecar/controller/map_writes.rs
@@ -82,19 +82,20 @@
 
     /// Sends a written change to all peers, so that they need not read the
     /// store. If it is too large for a datagram, peers learn of the new map
-    /// from this sidecar's next report.
+    /// from a report.
     pub(super) fn send_change(&self, base: Offset, at: Offset, edit: MapEdit) {
         let datagram = PeerDatagram::MapEdited { base, at, edit };
-        if encode_datagram(&datagram).is_ok() {
-            let addresses: Vec<SocketAddr> = {
-                let directory = self.fleet.directory();
-                directory.peers().map(|peer| peer.member.address).collect()
-            };
-            for address in addresses {
-                self.socket.send(address, &datagram);
-            }
+        if encode_datagram(&datagram).is_err() {
+            self.fleet.report_now.notify_one();
+            return;
+        }
+        let addresses: Vec<SocketAddr> = {
+            let directory = self.fleet.directory();
+            directory.peers().map(|peer| peer.member.address).collect()
+        };
+        for address in addresses {
+            self.socket.send(address, &datagram);
         }
-        self.fleet.report_now.notify_one();
     }
 
     /// Ends the pending change of voters, which has not taken effect and never
@@ -123,7 +124,7 @@
         let reconciler = MapReconciler::new(&own, &view.map, &sharded, &candidates);
         let due = self
             .due_transfers(&reconciler, now)
-            .or_else(|| reconciler.adopt_candidates())
+            .or_else(|| self.due_adoption(&reconciler, now))
             .or_else(|| self.due_voters(&view.map, now))
             .or_else(|| self.due_expulsion(&reconciler, now))
             .or_else(|| self.due_assignment(&reconciler, now));
@@ -180,6 +181,30 @@
         });
     }
 
+    /// Returns the change that makes all candidates holders, with voters for each;
+    /// `None` while an older candidate is to write it.
+    fn due_adoption(&mut self, reconciler: &MapReconciler<'_>, now: Duration) -> Option<MapEdit> {
+        let Some(MapEdit::Adopt {
+            sharded,
+            mut candidates,
+        }) = reconciler.adopt_candidates()
+        else {
+            self.candidate_since = None;
+            return None;
+        };
+        let since = *self.candidate_since.get_or_insert(now);
+        if now.saturating_sub(since) < reconciler.adoption_delay() {
+            return None;
+        }
+        for candidate in &mut candidates {
+            candidate.voters = self.choose_voters(candidate.incarnation, now);
+        }
+        Some(MapEdit::Adopt {
+            sharded,
+            candidates,
+        })
+    }
+
     /// Returns this sidecar's finished move, if it is to write it, and the
     /// finished moves that other owners asked it to write.
     pub(super) fn due_transfers(
--- a/src/sidecar/controller/mod.rs
+++ b/src/sidecar/controller/mod.rs
@@ -182,6 +182,9 @@
     /// Since when keys of this sidecar's service have had no owner.
     #[builder(skip)]
     unowned_since: Option<Duration>,
+    /// Since when this sidecar has been a candidate without being a holder.
+    #[builder(skip)]
+    candidate_since: Option<Duration>,
     #[builder(skip)]
     next_renewal: Duration,
     /// When the next move may be planned.
--- a/src/sidecar/dispatch.rs
+++ b/src/sidecar/dispatch.rs
@@ -574,7 +574,7 @@
 
     fn try_take_retry(&self, service: &ServiceName) -> bool {
         let limits = &self.shared.settings.retry_limits;
-        let members = self.shared.fleet.directory().peers().count() + 1;
+        let members = self.shared.fleet.directory().count() + 1;
         self.with_retry_budget(service, |budget| {
             budget.try_take_retry(since_boot(), limits, members)
         })
--- a/src/sidecar/fleet.rs
+++ b/src/sidecar/fleet.rs
@@ -82,8 +82,12 @@
     pub fleet_read_request: Notify,
     /// Notified to fetch the state of a peer that knows more, at once.
     pub catch_up_request: Notify,
-    /// Notified to send a status report at once.
+    /// Notified to send a status report to all peers at once.
     pub report_now: Notify,
+    /// Peers that may not know this sidecar and get a report at once.
+    introductions: Mutex<Vec<SocketAddr>>,
+    /// Notified when a peer is added to the introductions.
+    pub introduce_now: Notify,
 }
 
 impl FleetState {
@@ -102,6 +106,8 @@
             fleet_read_request: Notify::new(),
             catch_up_request: Notify::new(),
             report_now: Notify::new(),
+            introductions: Mutex::default(),
+            introduce_now: Notify::new(),
         }
     }
 
@@ -178,7 +184,7 @@
     /// Returns the interval between status reports, for the current number of
     /// members.
     pub fn report_interval(&self) -> Duration {
-        let members = self.directory().peers().count() as u32;
+        let members = self.directory().count() as u32;
         MIN_REPORT_INTERVAL.max(REPORT_INTERVAL_PER_MEMBER * members)
     }
 
@@ -256,10 +262,29 @@
         }
     }
 
-    /// Makes the next report to the peer at `address` include this sidecar's
-    /// member record again.
-    pub fn reintroduce_to(&self, address: SocketAddr) {
-        self.directory().clear_last_report(address);
+    /// Sends a report with this sidecar's member record to the peer at `address`
+    /// at once, ahead of those to all peers.
+    ///
+    /// When a whole fleet starts, every member is new to every other one. Reports to
+    /// all peers for each of them would grow with the cube of the fleet.
+    pub fn introduce_to(&self, address: SocketAddr) {
+        let mut introductions = self.introductions();
+        if !introductions.contains(&address) {
+            introductions.push(address);
+        }
+        drop(introductions);
+        self.introduce_now.notify_one();
+    }
+
+    /// Removes and returns the peers that get a report at once.
+    pub fn take_introductions(&self) -> Vec<SocketAddr> {
+        std::mem::take(&mut *self.introductions())
+    }
+
+    fn introductions(&self) -> MutexGuard<'_, Vec<SocketAddr>> {
+        self.introductions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the version of the configuration in force; 0 if there is none.
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -136,7 +136,7 @@
         StoreTopic::Operator if was_empty => return,
         StoreTopic::Operator => OPERATOR_READ_PAUSE,
         StoreTopic::Fleet => {
-            let members = fleet.directory().peers().count() as u32;
+            let members = fleet.directory().count() as u32;
             let mean = FLEET_READ_PAUSE.0 + FLEET_READ_PAUSE.1 * members;
             mean.mul_f64(rand::rng().random_range(0.7..=1.3))
         }
@@ -226,8 +226,10 @@
     }
     match postcard::from_bytes::<MemberRecord>(&record.value) {
         Ok(member) => {
-            if fleet.directory().record_member(member) {
-                fleet.report_now.notify_one();
+            let address = member.address;
+            let is_new = fleet.directory().record_member(member);
+            if is_new {
+                fleet.introduce_to(address);
             }
         }
         Err(error) => {
--- a/src/sidecar/gossip.rs
+++ b/src/sidecar/gossip.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -30,6 +31,21 @@
 /// Silent members get only one report in this many, in case they come back.
 const SILENT_MEMBER_DIVISOR: u64 = 4;
 
+/// Number of peers that are told of a new configuration at once. Each of them tells
+/// as many, so that news reaches a fleet of hundreds within a few steps.
+const NEWS_FANOUT: usize = 16;
+
+/// The peers that a report goes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReportScope {
+    /// All peers.
+    All,
+    /// [`NEWS_FANOUT`] random peers.
+    Some,
+    /// Those that may not know this sidecar.
+    Introductions,
+}
+
 /// Sends this sidecar's status reports.
 #[derive(Debug)]
 pub struct ReportSender {
@@ -46,31 +62,36 @@
 }
 
 impl ReportSender {
-    /// Sends reports until the process ends: at [`FleetState::report_interval`],
-    /// and early when the upstream, the configuration or the shutdown state
-    /// changes or [`FleetState::report_now`] is notified.
+    /// Sends reports until the process ends: to all peers at
+    /// [`FleetState::report_interval`], early when the upstream or the shutdown state
+    /// changes or [`FleetState::report_now`] is notified, to some peers when the
+    /// configuration changes, and to single peers that may not know this sidecar.
     pub async fn run(self) {
         let mut sequence = 0;
         let mut upstream = self.registry.subscribe();
         let mut leaving = self.leaving.clone();
         let mut routes = self.fleet.watch_routes();
+        let mut next = Instant::now();
         loop {
+            let scope = tokio::select! {
+                () = sleep_until(next) => ReportScope::All,
+                () = self.fleet.report_now.notified() => ReportScope::All,
+                Ok(()) = upstream.changed() => ReportScope::All,
+                Ok(()) = leaving.changed() => ReportScope::All,
+                Ok(()) = routes.changed() => ReportScope::Some,
+                () = self.fleet.introduce_now.notified() => ReportScope::Introductions,
+            };
             sequence += 1;
-            self.send(sequence);
-            let earliest = Instant::now() + MIN_REPORT_GAP;
-            let next = Instant::now() + self.fleet.report_interval();
-            tokio::select! {
-                () = sleep_until(next) => {}
-                () = self.fleet.report_now.notified() => {}
-                Ok(()) = upstream.changed() => {}
-                Ok(()) = leaving.changed() => {}
-                Ok(()) = routes.changed() => {}
+            self.send(sequence, scope);
+            let sent = Instant::now();
+            if scope == ReportScope::All {
+                next = sent + self.fleet.report_interval();
             }
-            sleep_until(earliest).await;
+            sleep_until(sent + MIN_REPORT_GAP).await;
         }
     }
 
-    fn send(&self, sequence: u64) {
+    fn send(&self, sequence: u64, scope: ReportScope) {
         let short = PeerReport {
             incarnation: self.fleet.own().incarnation,
             member: None,
@@ -86,7 +107,23 @@
         };
         let short = PeerDatagram::Report(Box::new(short));
         let long = PeerDatagram::Report(Box::new(long));
-        for (address, has_reported) in self.recipients(sequence) {
+        let recipients = match scope {
+            ReportScope::All => self.recipients(sequence),
+            ReportScope::Some => {
+                let mut all = self.recipients(sequence);
+                all.shuffle(&mut rand::rng());
+                all.truncate(NEWS_FANOUT);
+                all
+            }
+            ReportScope::Introductions => {
+                let addresses = self.fleet.take_introductions();
+                addresses
+                    .into_iter()
+                    .map(|address| (address, false))
+                    .collect()
+            }
+        };
+        for (address, has_reported) in recipients {
             let report = if has_reported { &short } else { &long };
             self.socket.send(address, report);
         }
@@ -149,8 +186,7 @@
                 handle_report(&socket, &fleet, from, *report);
             }
             Ok((from, Ok(PeerDatagram::AskMember))) => {
-                fleet.reintroduce_to(from);
-                fleet.report_now.notify_one();
+                fleet.introduce_to(from);
             }
             Ok((_from, Ok(PeerDatagram::MapEdited { base, at, edit }))) => {
                 fleet.apply_edit(base, at, &edit);
@@ -183,6 +219,6 @@
     match outcome {
         ReportOutcome::UnknownSender => socket.send(from, &PeerDatagram::AskMember),
         ReportOutcome::Unchanged => {}
-        ReportOutcome::Changed => fleet.report_now.notify_one(),
+        ReportOutcome::Changed => fleet.introduce_to(from),
     }
 }
--- a/src/sidecar/reconcile.rs
+++ b/src/sidecar/reconcile.rs
@@ -23,6 +23,9 @@
 /// that the second one usually sees the first one's write.
 const STAGGER_STEP: Duration = Duration::from_millis(120);
 
+/// Longest time that a candidate leaves its adoption to others.
+const MAX_ADOPTION_DELAY: Duration = Duration::from_millis(900);
+
 /// Decides on changes of the map, from the state that one sidecar sees.
 #[derive(Debug)]
 pub struct MapReconciler<'a> {
@@ -98,6 +101,16 @@
         })
     }
 
+    /// Returns how long this sidecar leaves the adoption of the candidates to
+    /// others: zero for the oldest candidate that is no holder, and a step more for
+    /// each next one, so that one write adopts a fleet that starts together.
+    pub fn adoption_delay(&self) -> Duration {
+        let older = self.candidates.iter().filter(|candidate| {
+            candidate.incarnation < self.own && self.map.holder(candidate.incarnation).is_none()
+        });
+        (STAGGER_STEP * older.count() as u32).min(MAX_ADOPTION_DELAY)
+    }
+
     /// Returns the change that assigns the unowned keys of this sidecar's
     /// service to its holders; `None` if there are none, or if `noticed`, the
     /// time since they were first seen, is too short.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod log_sessions;
 mod mesh_moves;
 mod mesh_path;
+mod mesh_reports;
 mod mesh_retry_budget;
 mod mesh_retry_policy;
 mod mesh_upstream;
