--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod declarations;
 mod delivery;
 mod dispatch;
+mod endless_bytes;
 mod error_table;
 mod figures;
 mod fold;
