--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -149,7 +149,7 @@
         /// The process that asks.
         asker: Incarnation,
         /// The voter that it is addressed to. A later process at the voter's
-        /// address ignores it.
+        /// address answers for it.
         voter: Incarnation,
         /// The holder.
         holder: Incarnation,
