follow: log which peer's state could not be fetched

The incident's logs do not show whether sidecars that were behind asked a peer at all, and which: a fetch that failed was a debug line. It is an info line now, with the peer, the number of comparisons that showed this sidecar behind, and what it knows. At most one fetch is under way, with a time limit of 500 ms, so a process writes two lines a second at most.

--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -286,7 +286,11 @@
             },
             Ok(None) => {}
             Err(error) => {
-                log::debug!(peer = &*peer.node, error:% = error; "fleet: cannot fetch a peer's state");
+                log::info!(
+                    peer = &*peer.node, error:% = error, times_behind = times_behind,
+                    configuration = fleet.configuration_version(), map = fleet.map().offset;
+                    "fleet: cannot fetch a peer's state"
+                );
             }
         }
     }
