tests: a sidecar that is behind and finds no way to a configuration, failing

A sidecar asks the first peer by name whose reports show anything newer. If that peer does not respond in time, it is asked again after each time-out; if it has a newer map and the old configuration, it is asked as long as the map goes on changing.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod log_client;
 mod log_sessions;
 mod mesh;
+mod mesh_catch_up;
 mod mesh_leaving;
 mod mesh_limits;
 mod mesh_moves;
