tests: conflicting appends that wear the store out, failing

While reads of the store are refused, three sidecars repeat their appends with the same expected end: 79 conflicts in 3 s, where each could know after one that it cannot succeed.

--- a/crates/winch-standin/src/store_standin.rs
+++ b/crates/winch-standin/src/store_standin.rs
@@ -45,6 +45,8 @@
 pub struct StoreFaults {
     /// Whether every call is refused with 503.
     pub down: bool,
+    /// Whether every read is refused with 503, while appends are served.
+    pub refuse_reads: bool,
     /// Whether calls are never answered and appends take no effect. Reads that wait
     /// when the fault begins are never answered either, even after it has ended.
     pub silent: bool,
@@ -88,6 +90,8 @@
     /// How often [`StoreFaults::silent`] was switched on.
     silent_periods: u64,
     calls: u64,
+    /// Appends that named another end than that of the topic.
+    conflicts: u64,
     /// How often the store came back from a copy.
     restores: u64,
 }
@@ -193,6 +197,11 @@
         lock(&self.state).calls
     }
 
+    /// Returns how many conditional appends have conflicted.
+    pub fn conflicts(&self) -> u64 {
+        lock(&self.state).conflicts
+    }
+
     /// Stops the server, also for clones. Dropping them doesn't stop it.
     pub fn stop(&self) {
         self.server.abort();
@@ -250,6 +259,15 @@
     faults.down.then(|| reply(503, Bytes::new()))
 }
 
+/// Applies the faults to a read, as [`apply_faults`] does.
+async fn apply_read_faults(state: &Mutex<StoreState>) -> Option<StoreResponse> {
+    if let Some(refused) = apply_faults(state).await {
+        return Some(refused);
+    }
+    let refuses = lock(state).faults.refuse_reads;
+    refuses.then(|| reply(503, Bytes::new()))
+}
+
 async fn answer_append(query: StoreQuery, body: Bytes, shared: SharedState) -> StoreResponse {
     let (state, appended) = shared;
     if let Some(refused) = apply_faults(&state).await {
@@ -278,6 +296,7 @@
     let topic = state.topics.entry(query.topic.clone()).or_default();
     let offset = topic.records.len();
     if query.at.is_some_and(|at| at != offset) {
+        state.conflicts += 1;
         return reply(412, json!({"endOffset": offset}).to_string());
     }
     while body.remaining() >= 4 {
@@ -293,7 +312,7 @@
 
 async fn answer_read(query: StoreQuery, shared: SharedState) -> StoreResponse {
     let (state, appended) = shared;
-    if let Some(refused) = apply_faults(&state).await {
+    if let Some(refused) = apply_read_faults(&state).await {
         return refused;
     }
     let silent_periods = lock(&state).silent_periods;
@@ -349,7 +368,7 @@
 
 async fn answer_newest(query: StoreQuery, shared: SharedState) -> StoreResponse {
     let (state, _appended) = shared;
-    if let Some(refused) = apply_faults(&state).await {
+    if let Some(refused) = apply_read_faults(&state).await {
         return refused;
     }
     let mut state = lock(&state);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -32,6 +32,7 @@
 mod mesh_restore;
 mod mesh_retry_budget;
 mod mesh_retry_policy;
+mod mesh_store_load;
 mod mesh_upstream;
 mod model_check;
 mod node_handler;
