follow: a sidecar that is behind spreads its questions over all peers that are ahead

Cause: the way round the store led through one peer. Each sidecar that was behind fetched the state of the first live peer by name whose reports showed a newer configuration or map. All asked the same one, whose link serves about 15 states a second, and asked it again after each time-out. A newer map, which is written all the time in a large fleet, sent them to peers with the old configuration. The store was read anew only after the third comparison, never again while the map kept changing.

The class: a fallback that all processes resolve to the same target, without another choice after a failure. Looked for elsewhere: the designated writer of finished moves already goes on to the next holder; voters are chosen by rendezvous hashing per holder.

Now a random one of the peers with a newer configuration is asked, and only if there is none, a random one with a newer map. The store is read anew after 3, 6, 12, ... comparisons, and only the topic that is behind.

--- a/src/peers/directory.rs
+++ b/src/peers/directory.rs
@@ -74,6 +74,15 @@
     }
 }
 
+/// Versions of the shared state that a process knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct KnownVersions {
+    /// Version of the configuration in force; 0 for none.
+    pub configuration: Version,
+    /// Offset of the newest range map; 0 for none.
+    pub map: Offset,
+}
+
 /// The other members of the fleet, by the names of their nodes.
 #[derive(Debug, Clone)]
 pub struct PeerDirectory {
@@ -188,6 +197,34 @@
             .is_some_and(|peer| is_fresh(peer, now, interval))
     }
 
+    /// Returns a live member that knows more than a process with this configuration
+    /// and map; `None` if there is none.
+    ///
+    /// Members with a newer configuration go before those with a newer map only, which
+    /// may have the old configuration. `seed` decides between several: if all processes
+    /// that are behind asked the same member, it could not serve them in time, and one
+    /// that does not respond would be asked again and again.
+    pub fn choose_ahead(
+        &self,
+        known: KnownVersions,
+        now: Duration,
+        interval: Duration,
+        seed: u64,
+    ) -> Option<&KnownPeer> {
+        let mut ahead: Vec<&KnownPeer> = self
+            .live(now, interval)
+            .filter(|peer| peer.configuration > known.configuration)
+            .collect();
+        if ahead.is_empty() {
+            ahead = self
+                .live(now, interval)
+                .filter(|peer| peer.map > known.map)
+                .collect();
+        }
+        let count = ahead.len() as u64;
+        (count > 0).then(|| ahead[(seed % count) as usize])
+    }
+
     /// Returns whether the process `own` is among the `count` oldest of itself and
     /// the live members.
     pub fn is_among_oldest(
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -18,9 +18,12 @@
 use tokio::time::sleep;
 
 use super::fleet::FleetState;
+use crate::base::boot_clock::since_boot;
 use crate::base::ids::Offset;
 use crate::base::timer::TimerService;
 use crate::log::backoff::RetryBackoff;
+use crate::peers::directory::KnownPeer;
+use crate::peers::directory::KnownVersions;
 use crate::peers::message::MemberRecord;
 use crate::ranges::map::decode_map;
 use crate::routes::check::check_configuration;
@@ -60,7 +63,8 @@
 const COMPARE_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Number of consecutive comparisons that show this sidecar behind after which
-/// it reads the store on a new connection.
+/// it reads the store on a new connection. It does so again each time that this
+/// number has doubled.
 const REREAD_AFTER: u32 = 3;
 
 /// Maximum time to fetch a peer's state.
@@ -254,6 +258,12 @@
     }
 }
 
+/// Returns whether the store is to be read anew after this number of consecutive
+/// comparisons that show this sidecar behind.
+fn is_reread_due(times_behind: u32) -> bool {
+    times_behind.is_multiple_of(REREAD_AFTER) && (times_behind / REREAD_AFTER).is_power_of_two()
+}
+
 /// Compares peers' reports with the local state until the process ends, and
 /// fetches the state of a peer that has a newer configuration or map.
 pub async fn catch_up(fleet: Arc<FleetState>, timer: TimerService) {
@@ -264,7 +274,7 @@
             _tick = ticks.next() => false,
             () = fleet.catch_up_request.notified() => true,
         };
-        let Some(peer) = find_peer_ahead(&fleet) else {
+        let Some(ahead) = choose_peer_ahead(&fleet) else {
             times_behind = 0;
             continue;
         };
@@ -273,10 +283,15 @@
         if times_behind < 2 && !requested {
             continue;
         }
-        if times_behind == REREAD_AFTER {
-            fleet.operator_read_request.notify_waiters();
-            fleet.fleet_read_request.notify_waiters();
+        if is_reread_due(times_behind) {
+            if ahead.configuration > fleet.configuration_version() {
+                fleet.operator_read_request.notify_one();
+            }
+            if ahead.map > fleet.map().offset {
+                fleet.fleet_read_request.notify_one();
+            }
         }
+        let peer = ahead.member;
         match fetch_encoded_state(peer.address, 0, PEER_FETCH_TIMEOUT).await {
             Ok(Some(encoded)) => match fleet.install(&encoded) {
                 Ok(()) => log::info!(peer = &*peer.node; "fleet: caught up from a peer"),
@@ -297,14 +312,15 @@
 }
 
 /// Returns a live peer that has a newer configuration or map than this sidecar.
-fn find_peer_ahead(fleet: &FleetState) -> Option<MemberRecord> {
-    let version = fleet.configuration_version();
-    let offset = fleet.map().offset;
+fn choose_peer_ahead(fleet: &FleetState) -> Option<KnownPeer> {
+    let known = KnownVersions {
+        configuration: fleet.configuration_version(),
+        map: fleet.map().offset,
+    };
     let interval = fleet.report_interval();
+    let seed = rand::rng().random();
     let directory = fleet.directory();
-    let now = crate::base::boot_clock::since_boot();
     directory
-        .live(now, interval)
-        .find(|peer| peer.configuration > version || peer.map > offset)
-        .map(|peer| peer.member.clone())
+        .choose_ahead(known, since_boot(), interval, seed)
+        .cloned()
 }
