controller: an append that has conflicted is not repeated before the topic is known to go on

Callers saw requests handled by an old configuration, late answers and refusals, while the store refused half of all calls.

Cause: owners of keys wore the store out. A write of the map that conflicted was sent again after 15 ms with the same expected end, if the read that would show the new end had not come through, and a refused one every 200 ms. An append takes the store 2 ms, so about 110 owners filled its queue of 2 s; from then on it refused every other call, the reads included that would have ended the conflicts.

The class: retries of what is known to fail, at a fixed pace that does not depend on how many others retry. Looked for elsewhere: readers of topics and announcements back off already.

Now no write starts until the topic is known to go on behind the end that conflicted, which a read or the map of a peer shows. Waits after conflicts and failures double, with jitter, up to 1 s and 3 s. The request to read is kept if the reader does not wait for it at that moment, since nothing repeats it now.

--- a/src/sidecar/controller/map_writes.rs
+++ b/src/sidecar/controller/map_writes.rs
@@ -10,6 +10,7 @@
 use super::RangeController;
 use crate::base::boot_clock::since_boot;
 use crate::base::ids::Offset;
+use crate::log::backoff::RetryBackoff;
 use crate::peers::message::PeerDatagram;
 use crate::ranges::edit::MapEdit;
 use crate::ranges::map::RangeMap;
@@ -33,16 +34,44 @@
 /// ones.
 const MAX_RESTORE_STAGGER: Duration = Duration::from_millis(900);
 
-/// Wait after a failed write of the map, other than a conflict.
-const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// First and maximum wait after a failed write of the map, other than a conflict.
+const FAILURE_BACKOFF: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(3));
 
-/// Wait after a conflict, in which the newer map arrives.
-const CONFLICT_DELAY: Duration = Duration::from_millis(15);
+/// First and maximum wait after a conflict. In the first one the newer map arrives;
+/// the longer ones spread out many writers, of which only one at a time succeeds.
+const CONFLICT_BACKOFF: (Duration, Duration) =
+    (Duration::from_millis(15), Duration::from_millis(1_000));
 
 /// Time that the designated writer has to write another owner's finished move,
 /// before that owner writes it itself and then asks another holder.
 const WRITER_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Waits between failed writes of the map.
+#[derive(Debug)]
+pub(super) struct WriteBackoff {
+    conflicts: RetryBackoff,
+    failures: RetryBackoff,
+}
+
+impl Default for WriteBackoff {
+    fn default() -> Self {
+        Self {
+            conflicts: RetryBackoff::new(CONFLICT_BACKOFF.0, CONFLICT_BACKOFF.1),
+            failures: RetryBackoff::new(FAILURE_BACKOFF.0, FAILURE_BACKOFF.1),
+        }
+    }
+}
+
+impl WriteBackoff {
+    /// Returns the wait after a write that failed with `error`.
+    fn next_wait(&mut self, error: &StoreError) -> Duration {
+        match error {
+            StoreError::Conflict => self.conflicts.next_wait(),
+            _ => self.failures.next_wait(),
+        }
+    }
+}
+
 impl<S: StateStore, U: UpstreamClient> RangeController<S, U> {
     pub(super) fn handle_written(&mut self, change: MapChange, result: Result<Offset, StoreError>) {
         let now = since_boot();
@@ -50,6 +79,7 @@
             Ok(offset) => {
                 log::info!(edit = change.edit.name(), base = change.base, offset = offset; "ranges: wrote the map");
                 self.metrics.map_writes.inc();
+                self.write_backoff = WriteBackoff::default();
                 self.next_change = Some(now);
                 self.fleet.offer_map(change.map, offset);
                 self.fleet.advance_end(offset + 1);
@@ -57,10 +87,10 @@
             }
             Err(error) => {
                 log::info!(edit = change.edit.name(), at = change.record_offset, error:% = error; "ranges: cannot write the map");
-                self.next_change = Some(now + RETRY_DELAY);
+                self.next_change = Some(now + self.write_backoff.next_wait(&error));
                 if error == StoreError::Conflict {
-                    self.next_change = Some(now + CONFLICT_DELAY);
-                    self.fleet.fleet_read_request.notify_waiters();
+                    self.conflicted_at = Some(change.record_offset);
+                    self.fleet.fleet_read_request.notify_one();
                 }
                 self.update_pending_voters(change.record_offset, &error);
                 if error != StoreError::Conflict {
@@ -125,7 +155,10 @@
         let Some(at) = self.fleet.fleet_topic_end() else {
             return;
         };
-        if !may_write {
+        let is_outdated = self
+            .conflicted_at
+            .is_some_and(|conflicted| at <= conflicted);
+        if !may_write || is_outdated {
             return;
         }
         let view = self.fleet.map();
--- a/src/sidecar/controller/mod.rs
+++ b/src/sidecar/controller/mod.rs
@@ -52,6 +52,8 @@
 use crate::store::StoreError;
 use crate::transport::datagram::DatagramSocket;
 
+use self::map_writes::WriteBackoff;
+
 pub use self::gate::RangeGate;
 pub use self::heartbeats::HeartbeatPort;
 pub use self::heartbeats::PendingHeartbeat;
@@ -164,6 +166,13 @@
     /// Changes that other owners asked this sidecar to write, by owner.
     #[builder(skip)]
     requested_edits: FastMap<Incarnation, MapEdit>,
+    /// The end of the topic that the last conflicting write expected. No other write
+    /// can succeed until the topic is known to go on.
+    #[builder(skip)]
+    conflicted_at: Option<Offset>,
+    /// Waits after writes that failed since the last one that succeeded.
+    #[builder(skip = WriteBackoff::default())]
+    write_backoff: WriteBackoff,
     /// When a write to the store last failed, other than by a conflict.
     #[builder(skip)]
     write_failed: Option<Duration>,
--- a/src/sidecar/fleet.rs
+++ b/src/sidecar/fleet.rs
@@ -182,7 +182,7 @@
             is_later
         });
         if is_later {
-            self.fleet_read_request.notify_waiters();
+            self.fleet_read_request.notify_one();
         }
     }
 
@@ -392,7 +392,10 @@
         if let Some(configuration) = snapshot.configuration {
             self.offer_configuration(configuration, "peer");
         }
-        self.offer_map(snapshot.map, snapshot.map_offset);
+        if snapshot.map_offset > 0 {
+            self.offer_map(snapshot.map, snapshot.map_offset);
+            self.advance_end(snapshot.map_offset + 1);
+        }
         let mut directory = self.directory();
         for member in snapshot.members {
             directory.record_member(member);
