--- a/src/sidecar/controller/map_writes.rs
+++ b/src/sidecar/controller/map_writes.rs
@@ -39,8 +39,7 @@
 
 /// First and maximum wait after a conflict. In the first one the newer map arrives;
 /// the longer ones spread out many writers, of which only one at a time succeeds.
-const CONFLICT_BACKOFF: (Duration, Duration) =
-    (Duration::from_millis(15), Duration::from_millis(1_000));
+const CONFLICT_BACKOFF: (Duration, Duration) = (Duration::from_millis(15), Duration::from_secs(1));
 
 /// Time that the designated writer has to write another owner's finished move,
 /// before that owner writes it itself and then asks another holder.
