moves: a move whose target has restarted leaves its keys to the other holders

Callers of some keys were refused for good (not-owner) after an upstream had ended while the sidecar restarted that was to get its keys.

Cause: the map refuses a transfer to a process that is no holder, and the owner goes on to offer the same transfer. The keys are closed for the move meanwhile.

Now such keys are left without an owner, and the holders divide them as any others. The test fails without the change (no map accepts the move).

--- a/src/sidecar/controller/transfers.rs
+++ b/src/sidecar/controller/transfers.rs
@@ -47,6 +47,7 @@
         let Some(planned) = &mut self.planned else {
             return;
         };
+        planned.drop_lost_targets(&self.fleet.map().map);
         if self.settings.grant_delivery == GrantDelivery::Heartbeats {
             planned.free_expired(&self.grants, now);
             self.finish_move(now);
--- a/src/sidecar/moves.rs
+++ b/src/sidecar/moves.rs
@@ -18,6 +18,7 @@
 use crate::ranges::grants::GrantedRange;
 use crate::ranges::grants::heartbeat::HeldReport;
 use crate::ranges::grants::heartbeat::ReleasedRange;
+use crate::ranges::map::RangeMap;
 
 /// Reason for a move.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -228,6 +229,15 @@
         }
     }
 
+    /// Leaves keys without an owner whose target is no longer a holder, as when its
+    /// process has restarted. The map accepts no other transfer of them, and without
+    /// one the move would never end.
+    pub fn drop_lost_targets(&mut self, map: &RangeMap) {
+        for piece in &mut self.pieces {
+            piece.target = piece.target.filter(|target| map.holder(*target).is_some());
+        }
+    }
+
     /// Returns the transfers to write to the map; `None` until all keys are
     /// free.
     pub fn transfers(&self, now: Duration) -> Option<Vec<RangeTransfer>> {
--- a/tests/testsuite/mesh_moves.rs
+++ b/tests/testsuite/mesh_moves.rs
@@ -129,6 +129,30 @@
     assert!(ended.transfers(ms(20)).is_some());
 }
 
+/// Guards against keys that stay without service for good: the process that was to
+/// get them restarted before the move was written, and the map refused the move from
+/// then on.
+#[test]
+fn a_move_to_a_process_that_has_restarted_leaves_the_keys_to_the_other_holders() {
+    let mut grants = granted();
+    let mut planned = begin(&mut grants);
+    planned.mark_all_free();
+    let adopted = edit::adopt(&RangeMap::default(), &candidate(1), 10).expect("a holder");
+    let mut map = edit::set_sharded_services(&adopted, &[SERVICE.into()]).expect("a service");
+    map.services[0].ranges = vec![whole_range()];
+    let written = |planned: &RangeMove| {
+        let transfers = planned.transfers(ms(20)).expect("free");
+        edit::transfer(&map, SERVICE, 1, &transfers, 20)
+    };
+    assert_eq!(written(&planned), None);
+
+    planned.drop_lost_targets(&map);
+
+    let moved = written(&planned).expect("a move that applies");
+    assert_eq!(moved.owner(SERVICE, 150), None);
+    assert_eq!(moved.owner(SERVICE, 99), Some(1));
+}
+
 fn owner(incarnation: Incarnation, utilization: f32) -> OwnerUtilization {
     OwnerUtilization {
         incarnation,
