tests: a request that crashes every upstream that runs it, failing

The stand-in of an upstream can be crashed by requests, and starts again as a new process. Four tests: a sharded service and one that is not, a sidecar that restarts while the store is away, and all sidecars that restart together.

--- a/crates/winch-standin/src/keyed_standin.rs
+++ b/crates/winch-standin/src/keyed_standin.rs
@@ -11,6 +11,7 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::sync::mpsc;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -69,6 +70,13 @@
     /// calls. Default: false.
     #[builder(default)]
     pub grants_by_heartbeat: bool,
+    /// Prefix of the paths whose requests crash the upstream while they run. Default:
+    /// none.
+    #[builder(into)]
+    pub crash_prefix: Option<Box<str>>,
+    /// Time after which a crashed upstream is back. Default: 500 ms.
+    #[builder(default = Duration::from_millis(500))]
+    pub restart_delay: Duration,
     /// Time that a request runs. Default: 5 ms.
     #[builder(default = Duration::from_millis(5))]
     pub service_time: Duration,
@@ -107,23 +115,40 @@
     format!("signed-{id}")
 }
 
-#[derive(Debug)]
+/// State of an upstream that outlives its processes.
+#[derive(Debug, Default)]
+struct UpstreamHistory {
+    faults: Mutex<KeyedFaults>,
+    draining: AtomicBool,
+    arrivals: Mutex<Vec<(Instant, Box<str>)>>,
+}
+
+/// One process of an upstream.
+#[derive(Debug, Clone)]
 struct UpstreamShared {
     settings: KeyedSettings,
     started_unix_ms: u64,
     checker: InvariantChecker,
-    faults: Mutex<KeyedFaults>,
-    draining: AtomicBool,
-    keys: HeartbeatKeys,
-    arrivals: Mutex<Vec<Instant>>,
+    history: Arc<UpstreamHistory>,
+    keys: Arc<HeartbeatKeys>,
+    events: mpsc::Sender<UpstreamEvent>,
+}
+
+/// What ends a process of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum UpstreamEvent {
+    /// A request has crashed it.
+    Crashed,
+    /// The stand-in was dropped.
+    Stopped,
 }
 
 /// A running upstream. Dropping it simulates a crash.
 #[derive(Debug)]
 pub struct KeyedStandin {
-    shared: Arc<UpstreamShared>,
-    /// A separate runtime, so that dropping it closes every connection.
-    runtime: Option<Runtime>,
+    history: Arc<UpstreamHistory>,
+    events: mpsc::Sender<UpstreamEvent>,
+    supervisor: Option<std::thread::JoinHandle<()>>,
 }
 
 impl KeyedStandin {
@@ -133,69 +158,125 @@
     ///
     /// Fails if the address cannot be bound or the runtime cannot be started.
     pub fn start(settings: KeyedSettings, checker: InvariantChecker) -> eyre::Result<Self> {
-        let listener = std::net::TcpListener::bind(settings.address)
-            .wrap_err("cannot bind the upstream's address")?;
-        listener.set_nonblocking(true)?;
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(1)
-            .enable_all()
-            .build()
-            .wrap_err("cannot start the upstream's runtime")?;
-        let started = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        let shared = Arc::new(UpstreamShared {
+        let history = Arc::<UpstreamHistory>::default();
+        let (events, received) = mpsc::channel();
+        let shared = UpstreamShared {
             settings,
-            started_unix_ms: started.as_millis() as u64,
+            started_unix_ms: unix_ms(),
             checker,
-            faults: Mutex::default(),
-            draining: AtomicBool::default(),
-            keys: HeartbeatKeys::default(),
-            arrivals: Mutex::default(),
-        });
-        let served = Arc::clone(&shared);
-        runtime.spawn(async move {
-            match TcpListener::from_std(listener) {
-                Ok(listener) => serve(listener, served).await,
-                Err(error) => log::error!("upstream: cannot serve: {error}"),
-            }
-        });
-        runtime.spawn(announce(Arc::clone(&shared)));
+            history: Arc::clone(&history),
+            keys: Arc::default(),
+            events: events.clone(),
+        };
+        let first = start_process(Arc::new(shared.clone()))?;
+        let supervisor = std::thread::spawn(move || supervise(&shared, first, &received));
         Ok(Self {
-            shared,
-            runtime: Some(runtime),
+            history,
+            events,
+            supervisor: Some(supervisor),
         })
     }
 
     /// Replaces the faults.
     pub fn set_faults(&self, faults: KeyedFaults) {
-        let current = &self.shared.faults;
+        let current = &self.history.faults;
         *current.lock().unwrap_or_else(PoisonError::into_inner) = faults;
     }
 
     /// Returns when each request so far arrived.
     pub fn arrivals(&self) -> Vec<Instant> {
-        let arrivals = &self.shared.arrivals;
+        self.arrivals_below("")
+    }
+
+    /// Returns when each request so far arrived whose path begins with `prefix`.
+    pub fn arrivals_below(&self, prefix: &str) -> Vec<Instant> {
+        let arrivals = &self.history.arrivals;
+        let arrivals = arrivals.lock().unwrap_or_else(PoisonError::into_inner);
         arrivals
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+            .iter()
+            .filter(|(_arrived, path)| path.starts_with(prefix))
+            .map(|(arrived, _path)| *arrived)
+            .collect()
     }
 
     /// Announces from now on that the upstream drains. It still serves requests.
     pub fn drain(&self) {
-        self.shared.draining.store(true, Ordering::Relaxed);
+        self.history.draining.store(true, Ordering::Relaxed);
     }
 }
 
 impl Drop for KeyedStandin {
     fn drop(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
+        // The supervisor ends by itself only if it could not restart the upstream.
+        let _is_supervised = self.events.send(UpstreamEvent::Stopped).is_ok();
+        if let Some(supervisor) = self.supervisor.take() {
+            drop(supervisor.join());
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    let started = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    started.as_millis() as u64
+}
+
+/// Starts a process of an upstream in a runtime of its own, so that dropping it
+/// closes every connection.
+fn start_process(shared: Arc<UpstreamShared>) -> eyre::Result<Runtime> {
+    let listener = std::net::TcpListener::bind(shared.settings.address)
+        .wrap_err("cannot bind the upstream's address")?;
+    listener.set_nonblocking(true)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .wrap_err("cannot start the upstream's runtime")?;
+    let served = Arc::clone(&shared);
+    runtime.spawn(async move {
+        match TcpListener::from_std(listener) {
+            Ok(listener) => serve(listener, served).await,
+            Err(error) => log::error!("upstream: cannot serve: {error}"),
+        }
+    });
+    runtime.spawn(announce(shared));
+    Ok(runtime)
+}
+
+/// Starts an upstream again after each crash, until it is stopped.
+fn supervise(shared: &UpstreamShared, first: Runtime, events: &mpsc::Receiver<UpstreamEvent>) {
+    let mut process = Some(first);
+    let mut restart_at = None;
+    loop {
+        let event = match restart_at {
+            Some(at) => events.recv_timeout(Instant::duration_since(&at, Instant::now())),
+            None => events
+                .recv()
+                .map_err(|_ended| mpsc::RecvTimeoutError::Disconnected),
+        };
+        let is_timeout = event == Err(mpsc::RecvTimeoutError::Timeout);
+        if is_timeout && process.is_none() {
+            let restarted = UpstreamShared {
+                started_unix_ms: unix_ms(),
+                keys: Arc::default(),
+                ..shared.clone()
+            };
+            match start_process(Arc::new(restarted)) {
+                Ok(runtime) => process = Some(runtime),
+                Err(error) => log::error!("upstream: cannot restart: {error}"),
+            }
+            restart_at = None;
+            continue;
+        }
+        if let Some(runtime) = process.take() {
             runtime.shutdown_background();
+            shared.checker.record_stop(&shared.settings.instance);
+        }
+        if event != Ok(UpstreamEvent::Crashed) {
+            return;
         }
-        self.shared
-            .checker
-            .record_stop(&self.shared.settings.instance);
+        restart_at = Some(Instant::now() + shared.settings.restart_delay);
     }
 }
 
@@ -207,7 +288,7 @@
         settings.announce_to, settings.instance
     );
     for number in 1_u64.. {
-        let draining = shared.draining.load(Ordering::Relaxed);
+        let draining = shared.history.draining.load(Ordering::Relaxed);
         let state = if draining { "draining" } else { "ready" };
         let mut body = json!({
             "service": settings.service, "address": settings.announced_address, "zone": "a",
@@ -298,10 +379,11 @@
     };
     let settings = &shared.settings;
     shared
+        .history
         .arrivals
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
-        .push(Instant::now());
+        .push((Instant::now(), path.into()));
     shared.checker.record_arrival(&settings.instance);
     let id = text("request-id");
     let start = RequestStart {
@@ -321,7 +403,18 @@
         );
     }
     let _running = start.key.map(|key| RunningKey::begin(&shared.keys, key));
-    let faults = *shared.faults.lock().unwrap_or_else(PoisonError::into_inner);
+    let crash_prefix = settings.crash_prefix.as_deref();
+    if crash_prefix.is_some_and(|prefix| path.starts_with(prefix)) {
+        tokio::time::sleep(settings.service_time).await;
+        // The supervisor has ended only if the upstream is being stopped.
+        let _is_supervised = shared.events.send(UpstreamEvent::Crashed).is_ok();
+        std::future::pending::<()>().await;
+    }
+    let faults = *shared
+        .history
+        .faults
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
     let factor = if path.starts_with("/slow/") {
         SLOW_PATH_FACTOR
     } else {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -28,6 +28,7 @@
 mod mesh_limits;
 mod mesh_moves;
 mod mesh_path;
+mod mesh_quarantine;
 mod mesh_reports;
 mod mesh_restore;
 mod mesh_retry_budget;
--- a/tests/testsuite/mesh.rs
+++ b/tests/testsuite/mesh.rs
@@ -122,9 +122,19 @@
         &self,
         machine: TestMachine,
         key: u16,
+    ) -> reqwest::Result<reqwest::Response> {
+        self.send_to(machine, &format!("/prices/{key}"), key).await
+    }
+
+    /// Sends a request with a path and a key to a machine's sidecar.
+    pub(crate) async fn send_to(
+        &self,
+        machine: TestMachine,
+        path: &str,
+        key: u16,
     ) -> reqwest::Result<reqwest::Response> {
         let number = self.sent.fetch_add(1, Ordering::Relaxed);
-        let url = format!("http://{}/prices/{key}", machine.ports.callers());
+        let url = format!("http://{}{path}", machine.ports.callers());
         self.client
             .get(url)
             .header("host", "shop.example")
@@ -141,17 +151,53 @@
     configuration_text(version, &[(SERVICE, true)], &[route])
 }
 
+/// How a mesh differs from the usual one.
+#[derive(Debug, Clone)]
+pub(crate) struct MeshOptions {
+    /// How grants reach the upstreams, as the settings name it.
+    pub(crate) grants: &'static str,
+    /// The operator's configuration.
+    pub(crate) configuration: String,
+    /// Whether the service is sharded by key.
+    pub(crate) sharded: bool,
+    /// Prefix of the paths whose requests may run at most once.
+    pub(crate) at_most_once_prefix: &'static str,
+    /// Prefix of the paths whose requests crash the upstream that runs them.
+    pub(crate) crash_prefix: Option<&'static str>,
+}
+
+impl Default for MeshOptions {
+    fn default() -> Self {
+        Self {
+            grants: "direct",
+            configuration: configuration(4),
+            sharded: true,
+            at_most_once_prefix: "/",
+            crash_prefix: None,
+        }
+    }
+}
+
 impl TestMesh {
     pub(crate) async fn start(count: u8) -> eyre::Result<Self> {
         Self::start_with(count, "direct").await
     }
 
     pub(crate) async fn start_with(count: u8, grants: &'static str) -> eyre::Result<Self> {
+        let options = MeshOptions {
+            grants,
+            ..MeshOptions::default()
+        };
+        Self::start_as(count, &options).await
+    }
+
+    pub(crate) async fn start_as(count: u8, options: &MeshOptions) -> eyre::Result<Self> {
+        let grants = options.grants;
         let store = StoreStandin::start().await?;
         store.put(
             OPERATOR_TOPIC,
             CONFIGURATION_KEY,
-            configuration(4).as_bytes(),
+            options.configuration.as_bytes(),
         );
         let world = InvariantChecker::default();
         let machines: Vec<_> = free_machine_ports(NETWORK, count)
@@ -171,6 +217,9 @@
                 .address(machine.ports.upstream())
                 .announce_to(machine.ports.announcements())
                 .grants_by_heartbeat(grants == "heartbeat")
+                .sharded(options.sharded)
+                .at_most_once_prefix(options.at_most_once_prefix)
+                .maybe_crash_prefix(options.crash_prefix)
                 .build();
             upstreams.push(KeyedStandin::start(settings, world.clone())?);
         }
