--- a/crates/winch-test-support/src/owner.rs
+++ b/crates/winch-test-support/src/owner.rs
@@ -254,6 +254,7 @@
         headers: Vec::new(),
         body: Bytes::new(),
         stated: None,
+        crashes: None,
     }
 }
 
--- a/src/base/error.rs
+++ b/src/base/error.rs
@@ -71,6 +71,10 @@
     DeadlineAfterStart,
     /// The upstream failed after the request started.
     UpstreamFailed,
+    /// The upstream ended while it ran the request.
+    UpstreamCrashed,
+    /// The request has crashed several upstreams and is not run any more.
+    Quarantined,
     /// An earlier attempt of the request may have run on another owner.
     EarlierAttempt,
     /// The upstream's response was truncated.
@@ -110,7 +114,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the operators' page.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 24] = [
         Self::MissingHeader,
         Self::MalformedHeader,
         Self::UnknownService,
@@ -131,6 +135,8 @@
         Self::ConnectionLost,
         Self::DeadlineAfterStart,
         Self::UpstreamFailed,
+        Self::UpstreamCrashed,
+        Self::Quarantined,
         Self::EarlierAttempt,
         Self::AnswerTruncated,
     ];
@@ -161,6 +167,8 @@
             Self::ConnectionLost => response(502, Unknown, "connection-lost", false, "repeat with the same idempotency key"),
             Self::DeadlineAfterStart => response(504, Unknown, "deadline-after-start", false, "repeat with the same idempotency key"),
             Self::UpstreamFailed => response(502, Unknown, "upstream-failed", false, "repeat with the same idempotency key"),
+            Self::UpstreamCrashed => response(502, Unknown, "upstream-crashed", false, "repeat with the same idempotency key"),
+            Self::Quarantined => response(503, NotRun, "quarantined", true, "change the request, or repair the service that crashes on it"),
             Self::EarlierAttempt => response(409, Unknown, "earlier-attempt", false, "ask the service whether the first attempt ran"),
             Self::AnswerTruncated => response(502, Unknown, "answer-truncated", false, "repeat with the same idempotency key"),
         }
--- a/src/delivery/message.rs
+++ b/src/delivery/message.rs
@@ -10,6 +10,9 @@
 use crate::base::ids::ClassName;
 use crate::base::ids::Epoch;
 use crate::base::ids::IdempotencyKey;
+use crate::quarantine::fingerprint::RequestFingerprint;
+use crate::quarantine::fingerprint::RequestIdentity;
+use crate::quarantine::ledger::CrashCount;
 use crate::state::record::ChainKey;
 use crate::upstream::condition::StatedCondition;
 
@@ -51,6 +54,27 @@
     /// What the upstream last stated in a response that the sender passed on;
     /// `None` if that was nothing.
     pub stated: Option<StatedCondition>,
+    /// Crashes of upstreams while they ran this request, as far as the sender knows;
+    /// `None` if it knows of none.
+    pub crashes: Option<CrashCount>,
+}
+
+impl RoutedRequest {
+    /// Returns the fingerprint by which a request is recognised that is sent again.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        let host = self
+            .headers
+            .iter()
+            .find(|(name, _value)| name.eq_ignore_ascii_case("host"));
+        RequestIdentity {
+            caller: &self.caller,
+            method: &self.method,
+            host: host.map_or(&[], |(_name, value)| value),
+            path: &self.path,
+            body: &self.body,
+        }
+        .fingerprint()
+    }
 }
 
 /// Complete response of an upstream.
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -240,6 +240,7 @@
         headers: forwarded_headers(&request.headers),
         body,
         stated: None,
+        crashes: None,
     };
     IncomingRequest {
         request: routed,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod ownership;
 pub mod peers;
 pub mod planner;
+pub mod quarantine;
 pub mod ranges;
 pub mod routes;
 pub mod routing;
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -12,6 +12,7 @@
 use crate::base::ids::Offset;
 use crate::base::ids::ServiceName;
 use crate::base::ids::Version;
+use crate::quarantine::ledger::CrashRecord;
 use crate::ranges::edit::MapEdit;
 use crate::upstream::condition::RequestRate;
 
@@ -90,6 +91,8 @@
     pub map: Offset,
     /// Whether the process is leaving the fleet.
     pub leaving: bool,
+    /// Requests that crash upstreams and may not run freely.
+    pub restricted: Vec<CrashRecord>,
 }
 
 /// A datagram between sidecars.
@@ -101,6 +104,8 @@
     /// Asks for a report with the member record, because the sender received a
     /// report from a process that it does not know.
     AskMember,
+    /// Announces what is newly known of requests that were in crashes of upstreams.
+    Crashes(Vec<CrashRecord>),
     /// Announces an edit of the range map that the sender wrote to the store.
     MapEdited {
         /// Offset of the map that was edited.
--- a/src/sidecar/dispatch.rs
+++ b/src/sidecar/dispatch.rs
@@ -5,6 +5,9 @@
 //! fleet's retry budget. Waiting for the owner of a key does not count as an
 //! attempt, since nothing was sent.
 
+mod choice;
+mod suspects;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -21,7 +24,6 @@
 use super::fleet::FleetState;
 use super::links::InFlightGuard;
 use super::links::PeerLinks;
-use super::links::apply_observed_load;
 use super::metrics::SidecarMetrics;
 use super::owner::SidecarOwner;
 use super::retry_budget::FleetRetryBudget;
@@ -43,12 +45,8 @@
 use crate::delivery::message::RequestFailure;
 use crate::delivery::message::RequestResult;
 use crate::delivery::message::RoutedRequest;
-use crate::load_balancing::UpstreamCandidate;
-use crate::load_balancing::choose_upstream;
-use crate::peers::directory::is_fresh;
 use crate::ranges::RangeKey;
 use crate::routes::matcher::CompiledRoute;
-use crate::sidecar::gossip::upstream_gauge;
 use crate::state::record::ChainKey;
 use crate::state::record::ChainSubject;
 use crate::telemetry::request_log::RequestLog;
@@ -308,6 +306,9 @@
         let mut may_have_run = None;
         let mut rejections = 0;
         loop {
+            if let Some(failure) = self.quarantine_failure(matched.request) {
+                return Err(may_have_run.unwrap_or(failure));
+            }
             let result = match self.choose_target(matched, &failed_at) {
                 Some(target) => {
                     let result = self.attempt(matched, target).await;
@@ -387,6 +388,7 @@
             headers: matched.request.headers.clone(),
             body: matched.request.body.clone(),
             stated: None,
+            crashes: self.known_crashes(matched.request),
         };
         match target {
             AttemptTarget::Local => self.owner.handle(request, CancellationToken::new()).await,
@@ -413,6 +415,7 @@
             stated: shared.links.conditions.find(&link.node),
             ..request
         };
+        let known_crashes = request.crashes;
         let call = link.link.call(request);
         tokio::pin!(call);
         loop {
@@ -421,8 +424,14 @@
             match timeout_at(until, &mut call).await {
                 Ok(result) => {
                     link.record_load();
-                    if let Ok(response) = &result {
-                        shared.links.conditions.record(&link.node, response.stated);
+                    match &result {
+                        Ok(response) => {
+                            shared.links.conditions.record(&link.node, response.stated);
+                        }
+                        Err(failure) if failure.kind == ErrorKind::UpstreamCrashed => {
+                            self.learn_crash(matched.request, known_crashes);
+                        }
+                        Err(_) => {}
                     }
                     return result;
                 }
@@ -443,82 +452,6 @@
         }
     }
 
-    fn choose_target(
-        &self,
-        matched: &MatchedRequest<'_>,
-        failed_at: &[AttemptTarget],
-    ) -> Option<AttemptTarget> {
-        match matched.subject {
-            ChainSubject::Slice(key) => self.owner_of(&matched.service, key),
-            ChainSubject::Key(_) | ChainSubject::Any => self.least_loaded(matched, failed_at),
-        }
-    }
-
-    fn owner_of(&self, service: &str, key: RangeKey) -> Option<AttemptTarget> {
-        let fleet = &self.shared.fleet;
-        let owner = fleet.map().map.owner(service, key)?;
-        if owner == fleet.own().incarnation {
-            return Some(AttemptTarget::Local);
-        }
-        fleet.is_live(owner).then_some(AttemptTarget::Peer(owner))
-    }
-
-    fn least_loaded(
-        &self,
-        matched: &MatchedRequest<'_>,
-        failed_at: &[AttemptTarget],
-    ) -> Option<AttemptTarget> {
-        let shared = &self.shared;
-        let fleet = &shared.fleet;
-        let interval = fleet.report_interval();
-        let now = since_boot();
-        let mut targets = Vec::new();
-        let mut candidates = Vec::new();
-        if let Some(gauge) = self.owner.ready_gauge(&matched.service) {
-            targets.push(AttemptTarget::Local);
-            candidates.push(UpstreamCandidate {
-                gauge: upstream_gauge(gauge.0, gauge.1),
-                age: Duration::ZERO,
-                unreported: 0,
-                same_domain: true,
-                fresh: true,
-            });
-        }
-        {
-            let links = shared.links.lock();
-            let directory = fleet.directory();
-            let serving = directory
-                .peers()
-                .filter(|peer| peer.member.service == matched.service && peer.accepts_requests());
-            for peer in serving {
-                targets.push(AttemptTarget::Peer(peer.member.incarnation));
-                let mut candidate = UpstreamCandidate {
-                    gauge: peer.gauge,
-                    age: now.saturating_sub(peer.last_report_at().unwrap_or_default()),
-                    unreported: 0,
-                    same_domain: peer.member.domain == fleet.own().domain,
-                    fresh: is_fresh(peer, now, interval),
-                };
-                if let Some(link) = links.get(&peer.member.incarnation) {
-                    apply_observed_load(&mut candidate, link, now);
-                }
-                candidates.push(candidate);
-            }
-        }
-        // Targets that already failed are used only if there are no others.
-        let untried: Vec<usize> = (0..targets.len())
-            .filter(|index| !failed_at.contains(&targets[*index]))
-            .collect();
-        let pool: Vec<usize> = if untried.is_empty() {
-            (0..targets.len()).collect()
-        } else {
-            untried
-        };
-        let offered: Vec<UpstreamCandidate> = pool.iter().map(|index| candidates[*index]).collect();
-        let chosen = choose_upstream(&offered, matched.route.rule.target, rand::random())?;
-        Some(targets[pool[chosen]])
-    }
-
     async fn wait_for_map(&self, until: Instant) {
         let mut maps = self.shared.fleet.watch_map();
         maps.borrow_and_update();
--- a/src/sidecar/fleet.rs
+++ b/src/sidecar/fleet.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use super::quarantine::RequestQuarantine;
 use crate::base::boot_clock::since_boot;
 use crate::base::ids::Incarnation;
 use crate::base::ids::Offset;
@@ -102,6 +103,8 @@
     introductions: Mutex<Vec<SocketAddr>>,
     /// Notified when a peer is added to the introductions.
     pub introduce_now: Notify,
+    /// Requests that crash upstreams.
+    pub quarantine: RequestQuarantine,
 }
 
 impl FleetState {
@@ -124,6 +127,7 @@
             report_now: Notify::new(),
             introductions: Mutex::default(),
             introduce_now: Notify::new(),
+            quarantine: RequestQuarantine::default(),
         }
     }
 
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -18,6 +18,8 @@
 use tokio::time::sleep;
 
 use super::fleet::FleetState;
+use super::quarantine::QUARANTINE_PREFIX;
+use super::quarantine::decode_verdict;
 use crate::base::boot_clock::since_boot;
 use crate::base::ids::Offset;
 use crate::base::timer::TimerService;
@@ -237,6 +239,19 @@
         }
         return;
     }
+    if record.key.starts_with(QUARANTINE_PREFIX) {
+        match decode_verdict(&record.value) {
+            Ok(verdict) => {
+                if let Some(verdict) = verdict {
+                    fleet.quarantine.merge(verdict, "store");
+                }
+            }
+            Err(error) => {
+                log::error!(offset = record.offset, error:% = error; "quarantine: cannot decode a verdict");
+            }
+        }
+        return;
+    }
     let Some(node) = record.key.strip_prefix(MEMBER_PREFIX) else {
         return;
     };
--- a/src/sidecar/gossip.rs
+++ b/src/sidecar/gossip.rs
@@ -22,6 +22,7 @@
 use crate::peers::message::PeerReport;
 use crate::peers::message::UpstreamGauge;
 use crate::peers::message::UpstreamPhase;
+use crate::quarantine::ledger::CrashRecord;
 use crate::sidecar::upstream::LocalUpstreamRegistry;
 use crate::transport::datagram::DatagramSocket;
 
@@ -100,6 +101,7 @@
             configuration: self.fleet.configuration_version(),
             map: self.fleet.map().offset,
             leaving: *self.leaving.borrow(),
+            restricted: self.fleet.quarantine.restricted(),
         };
         let long = PeerReport {
             member: Some(self.fleet.own().clone()),
@@ -189,6 +191,9 @@
             Ok((from, Ok(PeerDatagram::AskMember))) => {
                 fleet.introduce_to(from);
             }
+            Ok((_from, Ok(PeerDatagram::Crashes(records)))) => {
+                merge_crashes(&fleet, &records, "news");
+            }
             Ok((_from, Ok(PeerDatagram::MapEdited { base, at, edit }))) => {
                 fleet.apply_edit(base, at, &edit);
             }
@@ -216,6 +221,7 @@
     from: SocketAddr,
     report: PeerReport,
 ) {
+    merge_crashes(fleet, &report.restricted, "report");
     let outcome = fleet.directory().record_report(report, since_boot());
     match outcome {
         ReportOutcome::UnknownSender => socket.send(from, &PeerDatagram::AskMember),
@@ -223,3 +229,9 @@
         ReportOutcome::Changed => fleet.introduce_to(from),
     }
 }
+
+fn merge_crashes(fleet: &FleetState, records: &[CrashRecord], source: &str) {
+    for record in records {
+        fleet.quarantine.merge(*record, source);
+    }
+}
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -18,6 +18,8 @@
 //! * [`upstream`]: state of the local upstream, and the calls made to it.
 //! * [`retry_policy`] and [`retry_budget`]: when a failed attempt is retried,
 //!   and how many retries this sidecar may send.
+//! * [`crash_watch`]: notices crashes of the local upstream.
+//! * [`quarantine`]: keeps requests that crash upstreams away from further ones.
 //! * [`process`]: start and shutdown.
 //!
 //! Unlike [`crate::node`], a sidecar relies on the store for conditional
@@ -26,6 +28,7 @@
 
 mod conditions;
 pub mod controller;
+pub mod crash_watch;
 pub mod dispatch;
 pub mod fleet;
 pub mod follow;
@@ -35,6 +38,7 @@
 pub mod moves;
 pub mod owner;
 pub mod process;
+pub mod quarantine;
 pub mod reconcile;
 pub mod retry_budget;
 pub mod retry_policy;
--- a/src/sidecar/owner.rs
+++ b/src/sidecar/owner.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::controller::RangeGate;
+use super::crash_watch::CrashWatch;
 use super::fleet::FleetState;
 use super::metrics::SidecarMetrics;
 use super::upstream::LocalUpstream;
@@ -63,6 +64,7 @@
     registry: LocalUpstreamRegistry,
     slots: SlotQueue,
     gate: RangeGate,
+    crashes: CrashWatch,
     client: U,
     metrics: SidecarMetrics,
     log: RequestLog,
@@ -114,6 +116,7 @@
             self.wait_for_grant(key, deadline).await?;
         }
         self.check_upstream(&request)?;
+        let mut isolation = self.crashes.admit(&request, deadline).await?;
         let slot = {
             let demand = self.demand(&request, arrived, deadline);
             self.slots.acquire(demand).await
@@ -131,6 +134,7 @@
         {
             return Err(not_owner());
         }
+        let known_crashes = self.crashes.start(&request, &mut isolation)?;
         let process_number = upstream.process_number;
         let call = UpstreamCall {
             upstream,
@@ -152,10 +156,25 @@
         };
         if let Ok(response) = &result {
             self.record_condition(process_number, response.stated.condition);
+            self.crashes.record_success(&request, known_crashes);
         }
         slot.finish(slot_outcome(&result));
-        if result == Err(CallError::NotListening) {
-            self.registry.record_refused_connection(process_number);
+        match result {
+            Err(CallError::NotListening) => {
+                self.registry.record_refused_connection(process_number);
+            }
+            Err(CallError::Lost)
+                if self
+                    .crashes
+                    .has_crashed(&self.client, process_number, &request, known_crashes)
+                    .await =>
+            {
+                return Err(RequestFailure::new(
+                    ErrorKind::UpstreamCrashed,
+                    "the upstream ended while it ran the request",
+                ));
+            }
+            _ => {}
         }
         result.map_err(call_failure)
     }
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -19,6 +19,7 @@
 use super::controller::HeartbeatPort;
 use super::controller::RangeController;
 use super::controller::RangeGate;
+use super::crash_watch::CrashWatch;
 use super::dispatch::SidecarDispatcher;
 use super::fleet::FleetState;
 use super::follow::ConfigurationDecoder;
@@ -31,6 +32,8 @@
 use super::gossip::receive_datagrams;
 use super::metrics::SidecarMetrics;
 use super::owner::SidecarOwner;
+use super::quarantine::announce_crashes;
+use super::quarantine::store_verdicts;
 use super::settings::SidecarSettings;
 use super::upstream::LocalUpstreamRegistry;
 use super::upstream::UpstreamClient;
@@ -150,6 +153,7 @@
             .registry(registry.clone())
             .slots(slots.clone())
             .gate(gate.clone())
+            .crashes(CrashWatch::new(Arc::clone(&fleet), registry.clone()))
             .client(client.clone())
             .metrics(metrics.clone())
             .log(log.clone())
@@ -172,6 +176,8 @@
             leaving: leaving_watch.clone(),
         };
         tokio::spawn(reports.run());
+        tokio::spawn(announce_crashes(socket.clone(), Arc::clone(&fleet)));
+        tokio::spawn(store_verdicts(store.clone(), Arc::clone(&fleet)));
         let (sender, events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
         tokio::spawn(receive_datagrams(
             socket.clone(),
--- a/src/sidecar/retry_policy.rs
+++ b/src/sidecar/retry_policy.rs
@@ -46,6 +46,7 @@
         failure.kind,
         ErrorKind::UpstreamRefused
             | ErrorKind::UpstreamFailed
+            | ErrorKind::UpstreamCrashed
             | ErrorKind::AnswerTruncated
             | ErrorKind::ConnectionLost
             | ErrorKind::DeadlineAfterStart
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -333,6 +333,16 @@
         Some(condition)
     }
 
+    /// Returns whether an upstream has announced or stated that it leaves.
+    pub fn is_leaving(&self, upstream: &LocalUpstream) -> bool {
+        upstream.announced.draining
+            || upstream.phase == UpstreamPhase::Draining
+            || upstream
+                .condition
+                .is_some_and(|condition| condition.leaving)
+            || is_deregistered(&self.deregistered(), &upstream.announced)
+    }
+
     /// Marks the upstream absent if its announcements have stopped.
     pub fn check_timeout(&self) {
         let now = since_boot();
@@ -436,6 +446,10 @@
         call: UpstreamCall,
     ) -> impl Future<Output = Result<UpstreamResponse, CallError>> + Send + 'static;
 
+    /// Returns whether the upstream still accepts connections; true if that
+    /// cannot be told.
+    fn is_listening(&self) -> impl Future<Output = bool> + Send + 'static;
+
     /// Grants a range of keys to the upstream for a limited time.
     fn grant(
         &self,
--- a/tests/testsuite/endless_bytes.rs
+++ b/tests/testsuite/endless_bytes.rs
@@ -84,6 +84,7 @@
         headers: vec![("request-id".into(), "1".into())],
         body: bytes::Bytes::new(),
         stated: None,
+        crashes: None,
     };
     UpstreamCall {
         upstream: LocalUpstream {
--- a/tests/testsuite/mesh_catch_up.rs
+++ b/tests/testsuite/mesh_catch_up.rs
@@ -120,6 +120,7 @@
         configuration: version,
         map,
         leaving: false,
+        restricted: Vec::new(),
     };
     fleet.directory().record_report(report, since_boot());
 }
--- a/tests/testsuite/mesh_reports.rs
+++ b/tests/testsuite/mesh_reports.rs
@@ -58,6 +58,7 @@
             configuration: 0,
             map: 0,
             leaving: false,
+            restricted: Vec::new(),
         };
         // Repeated because a full socket buffer drops datagrams.
         while fleet.directory().find(incarnation).is_none() {
