--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -35,7 +35,7 @@
 
 /// Time without a further crash after which one crash is forgotten. A request in
 /// quarantine may then run once, alone, in case its upstreams were repaired.
-pub const FORGET_PERIOD: Duration = Duration::from_secs(600);
+pub const FORGET_PERIOD: Duration = Duration::from_mins(10);
 
 /// Most requests that are remembered. One crash adds as many as an upstream has
 /// slots.
@@ -131,6 +131,11 @@
         self.entries.is_empty()
     }
 
+    /// Returns the number of requests that are remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Returns how a request may run at `now`.
     pub fn standing(&self, fingerprint: RequestFingerprint, now: Duration) -> RequestStanding {
         let Some(entry) = self.entries.get(&fingerprint) else {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -52,6 +52,7 @@
 mod plan_batches;
 mod planner;
 mod platform;
+mod quarantine;
 mod queue_replay;
 mod ranges_grants;
 mod ranges_heartbeat;
