--- /dev/null
+++ b/tests/testsuite/faulty_upstream.rs
@@ -0,0 +1,181 @@
+//! Upstreams that write bytes which no request asked for, or stop in the middle of a
+//! response.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+use buckthornwinch::delivery::message::RoutedRequest;
+use buckthornwinch::peers::message::UpstreamPhase;
+use buckthornwinch::sidecar::upstream::AnnouncedUpstream;
+use buckthornwinch::sidecar::upstream::LocalUpstream;
+use buckthornwinch::sidecar::upstream::UpstreamCall;
+use buckthornwinch::sidecar::upstream::UpstreamClient;
+use buckthornwinch::state::record::ChainKey;
+use buckthornwinch::state::record::ChainSubject;
+use buckthornwinch::upstream::service::CallError;
+use winch_platform::upstream::HttpUpstreamClient;
+
+const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n\
+                       Request-Id: 1\r\nContent-Length: 0\r\n\r\n";
+
+const ANSWER: &str = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nResponse-Signature: s\r\n\
+                      Content-Length: 5\r\n\r\nwhole";
+
+fn call(address: SocketAddr, id: &'static str) -> UpstreamCall {
+    let announced = AnnouncedUpstream {
+        instance: "i-1".into(),
+        started_unix_ms: None,
+        sequence: 1,
+        service: "orders".into(),
+        address,
+        slots: 1,
+        draining: false,
+    };
+    let request = RoutedRequest {
+        chain: ChainKey {
+            service: "orders".into(),
+            subject: ChainSubject::Any,
+        },
+        key: Box::default(),
+        class: "orders".into(),
+        remaining: None,
+        target: None,
+        idempotency_key: None,
+        attempt: 1,
+        caller: "shop".into(),
+        method: "GET".into(),
+        path: "/orders/1".into(),
+        headers: vec![("request-id".into(), id.into())],
+        body: bytes::Bytes::new(),
+        stated: None,
+        crashes: None,
+    };
+    UpstreamCall {
+        upstream: LocalUpstream {
+            announced,
+            phase: UpstreamPhase::Ready,
+            ended: false,
+            last_heard: Duration::ZERO,
+            condition: None,
+            process_number: 1,
+        },
+        request: Arc::new(request),
+        remaining: Duration::from_secs(5),
+    }
+}
+
+/// Starts an upstream that passes each connection, with its number from 0, to `serve`
+/// in a thread of its own.
+fn start(serve: impl Fn(TcpStream, usize) + Clone + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for (number, stream) in listener.incoming().flatten().enumerate() {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream, number));
+        }
+    });
+    address
+}
+
+/// Reads one request, which has no body. Returns false if the client has closed.
+fn read_request(stream: &mut TcpStream) -> bool {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if !matches!(stream.read(&mut byte), Ok(1)) {
+            return false;
+        }
+        head.push(byte[0]);
+    }
+    true
+}
+
+/// Writes a response; the client may have closed.
+fn respond(stream: &mut TcpStream, response: &str) {
+    drop(stream.write_all(response.as_bytes()));
+}
+
+/// Refuses the first request on the first connection. While it runs a second one
+/// there, writes the refusal once more. Answers all requests on other connections.
+fn refuse_twice(mut stream: TcpStream, number: usize) {
+    while read_request(&mut stream) {
+        respond(&mut stream, if number == 0 { REFUSAL } else { ANSWER });
+    }
+}
+
+/// Guards against a refusal that is taken as the answer to a later try of the same
+/// request, which runs: its caller would be told that it did not.
+#[tokio::test]
+async fn a_repeated_refusal_is_not_taken_as_the_answer_to_the_next_try() {
+    let address = start(refuse_twice);
+    let client = HttpUpstreamClient::new(address);
+    assert_eq!(
+        client.clone().run(call(address, "1")).await,
+        Err(CallError::Refused)
+    );
+
+    let next = client.run(call(address, "1")).await;
+
+    assert_eq!(next.map(|response| response.status), Ok(200));
+}
+
+#[tokio::test]
+async fn a_repeated_refusal_is_not_taken_as_the_answer_to_another_request() {
+    let address = start(refuse_twice);
+    let client = HttpUpstreamClient::new(address);
+    assert_eq!(
+        client.clone().run(call(address, "1")).await,
+        Err(CallError::Refused)
+    );
+
+    let other = client.run(call(address, "2")).await;
+
+    assert_eq!(other, Err(CallError::Lost));
+}
+
+/// An upstream that closes before its response is complete.
+#[tokio::test]
+async fn a_response_that_stops_anywhere_is_never_taken_as_complete() {
+    for length in 0..ANSWER.len() {
+        let address = start(move |mut stream, _number| {
+            if read_request(&mut stream) {
+                respond(&mut stream, &ANSWER[..length]);
+            }
+        });
+
+        let result = HttpUpstreamClient::new(address)
+            .run(call(address, "1"))
+            .await;
+
+        assert!(
+            matches!(result, Err(CallError::Lost | CallError::Truncated)),
+            "after {length} bytes: {result:?}"
+        );
+    }
+}
+
+/// A response without a length ends with its connection. If the head stops, there is
+/// no response yet, so its end must not be taken for that of an empty body.
+#[tokio::test]
+async fn a_head_that_stops_is_no_response_without_a_length() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nResponse-Signature: s\r\n\r\n";
+    for length in 0..HEAD.len() {
+        let address = start(move |mut stream, _number| {
+            if read_request(&mut stream) {
+                respond(&mut stream, &HEAD[..length]);
+            }
+        });
+
+        let result = HttpUpstreamClient::new(address)
+            .run(call(address, "1"))
+            .await;
+
+        assert_eq!(result, Err(CallError::Lost), "after {length} bytes");
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod dispatch;
 mod endless_bytes;
 mod error_table;
+mod faulty_upstream;
 mod figures;
 mod fold;
 mod handover;
