tests: odd records and announcements of another writer, ruled out

Report of other operators: an entry that is deeply nested, or has a number too large or a port out of range, ended the processes that read it or stopped them from following the list.

It does not happen here: an announcement of this kind is rejected and leaves the known upstream as it is, and sidecars follow both topics past such records, also those that start with them.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -38,6 +38,7 @@
 mod mesh_upstream;
 mod model_check;
 mod node_handler;
+mod odd_records;
 mod operator_pages;
 mod outcome_table;
 mod outcomes;
