--- a/tests/testsuite/odd_records.rs
+++ b/tests/testsuite/odd_records.rs
@@ -116,3 +116,24 @@
     }
     Ok(())
 }
+
+/// Guards against an overflow of the clock, which closed the connection without an
+/// answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_with_the_largest_deadline_is_served() -> eyre::Result<()> {
+    let mut mesh = TestMesh::start(2).await?;
+    mesh.wait_until_served(0).await.wrap_err("at the start")?;
+
+    let url = format!("http://{}/prices/1", mesh.machines[0].ports.callers());
+    let response = reqwest::Client::new()
+        .get(url)
+        .header("host", "shop.example")
+        .header("request-id", "largest-deadline")
+        .header("deadline-ms", u64::MAX.to_string())
+        .header("shard-key", "1")
+        .send()
+        .await?;
+
+    assert_eq!(response.status().as_u16(), 200);
+    mesh.check()
+}
