ranges: keys that lose their owner go to a few holders

Cause: an owner that leaves or is lost divided its keys among all others. With 26 of 120 owners leaving, the map grew by 119 ranges for each, their edits fit into no datagram, and each sidecar fetched the whole map from the one that wrote it, or read it from the store. The class: a change whose cost grows with the fleet, in each part of the fleet.

Now the keys of an equal share go to at most 8 holders, chosen by rendezvous hashing, so that several leaving owners burden different ones. Fleets of up to 8 other owners divide as before.

map_size::the_loss_of_owners_adds_few_ranges_to_the_map_of_a_large_fleet fails without the limit.

--- a/src/ranges/edit.rs
+++ b/src/ranges/edit.rs
@@ -15,11 +15,19 @@
 use super::map::RangeMap;
 use super::map::RangeVoter;
 use super::map::ServiceRanges;
+use crate::base::hash::rendezvous_score;
 use crate::base::ids::FailureDomainName;
 use crate::base::ids::Incarnation;
 use crate::base::ids::Offset;
 use crate::base::ids::ServiceName;
 
+/// Number of keys of a service.
+const KEY_COUNT: u64 = 1 << 16;
+
+/// Most holders that the keys of one equal share go to. Each of them then gets an
+/// eighth more than its own share at most.
+const TARGETS_PER_SHARE: usize = 8;
+
 /// An edit of the range map. It is deterministic: every process that applies it
 /// to the same map at the same offset computes the same next map.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -359,6 +367,24 @@
     Some(edited)
 }
 
+/// Chooses which of the `holders` get `keys` keys that lose their owner.
+///
+/// Each key range more makes the map larger, which all sidecars have to learn. If
+/// the keys of one owner went to all others, the map would grow with the square of
+/// the fleet when many leave. `seed` decides which holders are chosen; different ones
+/// spread the keys of several owners over all holders.
+pub fn choose_targets(holders: &[Incarnation], keys: u32, seed: u64) -> Vec<Incarnation> {
+    let equal_shares = (u64::from(keys) * holders.len() as u64).div_ceil(KEY_COUNT);
+    let limit = equal_shares.max(1) as usize * TARGETS_PER_SHARE;
+    let mut chosen = holders.to_vec();
+    if limit < holders.len() {
+        chosen.sort_by_key(|holder| rendezvous_score(seed, *holder));
+        chosen.truncate(limit);
+        chosen.sort_unstable();
+    }
+    chosen
+}
+
 /// Divides ranges among targets, which get equal numbers of keys give or take
 /// one. Each target gets consecutive keys of `ranges`, in the order of `targets`.
 pub fn divide_evenly(ranges: &[KeyRange], targets: &[Incarnation]) -> Vec<RangeTransfer> {
--- a/src/sidecar/controller/transfers.rs
+++ b/src/sidecar/controller/transfers.rs
@@ -9,7 +9,9 @@
 use crate::peers::message::UpstreamPhase;
 use crate::ranges::RangeKey;
 use crate::ranges::edit::RangeTransfer;
+use crate::ranges::edit::choose_targets;
 use crate::ranges::edit::divide_evenly;
+use crate::ranges::map::KeyRange;
 use crate::ranges::map::RangeMap;
 use crate::ranges::rebalance::OwnerUtilization;
 use crate::ranges::rebalance::plan_transfers;
@@ -164,7 +166,9 @@
             .map(|owner| owner.incarnation)
             .collect();
         let owned = map.owned_by(self.own());
-        (!others.is_empty()).then(|| divide_evenly(&owned, &others))
+        let keys = owned.iter().map(KeyRange::key_count).sum();
+        let targets = choose_targets(&others, keys, self.own());
+        (!targets.is_empty()).then(|| divide_evenly(&owned, &targets))
     }
 
     /// Returns the keys to move to balance the load: an equal share for a
--- a/src/sidecar/reconcile.rs
+++ b/src/sidecar/reconcile.rs
@@ -12,6 +12,7 @@
 use crate::peers::message::MemberRecord;
 use crate::ranges::edit::HolderCandidate;
 use crate::ranges::edit::MapEdit;
+use crate::ranges::edit::choose_targets;
 use crate::ranges::map::KeyRange;
 use crate::ranges::map::RangeMap;
 
@@ -118,16 +119,22 @@
         if noticed < ASSIGN_DELAY + self.stagger_delay() || !self.has_unowned() {
             return None;
         }
+        let keys: u32 = self.unowned().map(KeyRange::key_count).sum();
         Some(MapEdit::Assign {
             service: self.service.into(),
-            targets: self.service_holders(),
+            targets: choose_targets(&self.service_holders(), keys, self.own),
         })
     }
 
     /// Returns whether any keys of this sidecar's service have no owner.
     pub fn has_unowned(&self) -> bool {
+        self.unowned().next().is_some()
+    }
+
+    fn unowned(&self) -> impl Iterator<Item = &KeyRange> {
         let service = self.map.service(self.service);
-        service.is_some_and(|service| service.ranges.iter().any(|range| range.owner.is_none()))
+        let ranges = service.into_iter().flat_map(|service| &service.ranges);
+        ranges.filter(|range| range.owner.is_none())
     }
 
     /// Returns the change that removes a holder whose voters refuse it under
@@ -139,6 +146,9 @@
         }
         let mut targets = self.service_holders();
         targets.retain(|target| *target != holder);
+        let owned = self.map.owned_by(holder);
+        let keys = owned.iter().map(KeyRange::key_count).sum();
+        let targets = choose_targets(&targets, keys, holder);
         Some(MapEdit::Expel {
             holder,
             term,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod load_balancing;
 mod log_client;
 mod log_sessions;
+mod map_size;
 mod mesh;
 mod mesh_catch_up;
 mod mesh_leaving;
