follow: sidecars that are behind take turns at asking the few that are ahead

A map change that fits into no datagram is known to its writer alone.

Now each comparison lets about 8 sidecars ask for each one that is ahead, and one that has caught up tells 16 others, as for a new configuration. The store is read anew only by those whose turn it is.

mesh_catch_up::few_sidecars_at_a_time_ask_the_first_one_that_is_ahead states the bound: 1 to 10 of 300 ask a single one, all may once nearly all are ahead.

--- a/src/peers/directory.rs
+++ b/src/peers/directory.rs
@@ -74,6 +74,28 @@
     }
 }
 
+/// How many processes that are behind may ask one member that is ahead at the same
+/// time.
+const ASKS_PER_PEER: usize = 8;
+
+/// Random numbers from 0 to 1 for one choice of a member to ask.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CatchUpDraw {
+    /// Decides which member is asked.
+    pub member: f64,
+    /// Decides whether to ask now.
+    pub turn: f64,
+}
+
+/// A member that knows more than this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AheadPeer<'a> {
+    /// The member.
+    pub peer: &'a KnownPeer,
+    /// Whether this process may ask it now.
+    pub is_turn: bool,
+}
+
 /// Versions of the shared state that a process knows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct KnownVersions {
@@ -201,16 +223,19 @@
     /// and map; `None` if there is none.
     ///
     /// Members with a newer configuration go before those with a newer map only, which
-    /// may have the old configuration. `seed` decides between several: if all processes
-    /// that are behind asked the same member, it could not serve them in time, and one
-    /// that does not respond would be asked again and again.
+    /// may have the old configuration. `draw` is random. It decides between several
+    /// members: if all processes that are behind asked the same one, it could not serve
+    /// them in time, and one that does not respond would be asked again and again. It
+    /// also decides whether it is this process's turn to ask, so that a few members
+    /// that are ahead are not asked by all others at once.
     pub fn choose_ahead(
         &self,
         known: KnownVersions,
         now: Duration,
         interval: Duration,
-        seed: u64,
-    ) -> Option<&KnownPeer> {
+        draw: CatchUpDraw,
+    ) -> Option<AheadPeer<'_>> {
+        let live = self.live(now, interval).count();
         let mut ahead: Vec<&KnownPeer> = self
             .live(now, interval)
             .filter(|peer| peer.configuration > known.configuration)
@@ -221,8 +246,13 @@
                 .filter(|peer| peer.map > known.map)
                 .collect();
         }
-        let count = ahead.len() as u64;
-        (count > 0).then(|| ahead[(seed % count) as usize])
+        let last = ahead.len().checked_sub(1)?;
+        let chosen = (draw.member * ahead.len() as f64) as usize;
+        let turns = (ahead.len() * ASKS_PER_PEER) as f64;
+        Some(AheadPeer {
+            peer: ahead[chosen.min(last)],
+            is_turn: draw.turn * live as f64 <= turns,
+        })
     }
 
     /// Returns whether the process `own` is among the `count` oldest of itself and
--- a/src/sidecar/fleet.rs
+++ b/src/sidecar/fleet.rs
@@ -97,6 +97,9 @@
     pub fleet_read_request: Notify,
     /// Notified to fetch the state of a peer that knows more, at once.
     pub catch_up_request: Notify,
+    /// Notified to send a status report to some peers at once, because this sidecar
+    /// has caught up and can serve others that are behind.
+    pub tell_some_peers: Notify,
     /// Notified to send a status report to all peers at once.
     pub report_now: Notify,
     /// Peers that may not know this sidecar and get a report at once.
@@ -124,6 +127,7 @@
             operator_read_request: Notify::new(),
             fleet_read_request: Notify::new(),
             catch_up_request: Notify::new(),
+            tell_some_peers: Notify::new(),
             report_now: Notify::new(),
             introductions: Mutex::default(),
             introduce_now: Notify::new(),
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -24,6 +24,7 @@
 use crate::base::ids::Offset;
 use crate::base::timer::TimerService;
 use crate::log::backoff::RetryBackoff;
+use crate::peers::directory::CatchUpDraw;
 use crate::peers::directory::KnownPeer;
 use crate::peers::directory::KnownVersions;
 use crate::peers::message::MemberRecord;
@@ -289,13 +290,13 @@
             _tick = ticks.next() => false,
             () = fleet.catch_up_request.notified() => true,
         };
-        let Some(ahead) = choose_peer_ahead(&fleet) else {
+        let Some((ahead, is_turn)) = choose_peer_ahead(&fleet) else {
             times_behind = 0;
             continue;
         };
         times_behind += 1;
         // After the first comparison the change may still be on its way here.
-        if times_behind < 2 && !requested {
+        if !is_turn || (times_behind < 2 && !requested) {
             continue;
         }
         if is_reread_due(times_behind) {
@@ -309,7 +310,10 @@
         let peer = ahead.member;
         match fetch_encoded_state(peer.address, 0, PEER_FETCH_TIMEOUT).await {
             Ok(Some(encoded)) => match fleet.install(&encoded) {
-                Ok(()) => log::info!(peer = &*peer.node; "fleet: caught up from a peer"),
+                Ok(()) => {
+                    log::info!(peer = &*peer.node; "fleet: caught up from a peer");
+                    fleet.tell_some_peers.notify_one();
+                }
                 Err(error) => {
                     log::warn!(peer = &*peer.node, error:% = error; "fleet: cannot decode a peer's state");
                 }
@@ -326,16 +330,19 @@
     }
 }
 
-/// Returns a live peer that has a newer configuration or map than this sidecar.
-fn choose_peer_ahead(fleet: &FleetState) -> Option<KnownPeer> {
+/// Returns a live peer that has a newer configuration or map than this sidecar, and
+/// whether it may be asked now.
+fn choose_peer_ahead(fleet: &FleetState) -> Option<(KnownPeer, bool)> {
     let known = KnownVersions {
         configuration: fleet.configuration_version(),
         map: fleet.map().offset,
     };
     let interval = fleet.report_interval();
-    let seed = rand::rng().random();
+    let draw = CatchUpDraw {
+        member: rand::rng().random(),
+        turn: rand::rng().random(),
+    };
     let directory = fleet.directory();
-    directory
-        .choose_ahead(known, since_boot(), interval, seed)
-        .cloned()
+    let ahead = directory.choose_ahead(known, since_boot(), interval, draw)?;
+    Some((ahead.peer.clone(), ahead.is_turn))
 }
--- a/src/sidecar/gossip.rs
+++ b/src/sidecar/gossip.rs
@@ -32,7 +32,7 @@
 /// Silent members get only one report in this many, in case they come back.
 const SILENT_MEMBER_DIVISOR: u64 = 4;
 
-/// Number of peers that are told of a new configuration at once. Each of them tells
+/// Number of peers that are told of a new configuration or map at once. Each of them tells
 /// as many, so that news reaches a fleet of hundreds within a few steps.
 const NEWS_FANOUT: usize = 16;
 
@@ -66,7 +66,7 @@
     /// Sends reports until the process ends: to all peers at
     /// [`FleetState::report_interval`], early when the upstream or the shutdown state
     /// changes or [`FleetState::report_now`] is notified, to some peers when the
-    /// configuration changes, and to single peers that may not know this sidecar.
+    /// configuration changes or this sidecar has caught up, and to single peers that may not know this sidecar.
     pub async fn run(self) {
         let mut sequence = 0;
         let mut upstream = self.registry.subscribe();
@@ -80,6 +80,7 @@
                 Ok(()) = upstream.changed() => ReportScope::All,
                 Ok(()) = leaving.changed() => ReportScope::All,
                 Ok(()) = routes.changed() => ReportScope::Some,
+                () = self.fleet.tell_some_peers.notified() => ReportScope::Some,
                 () = self.fleet.introduce_now.notified() => ReportScope::Introductions,
             };
             sequence += 1;
--- a/tests/testsuite/mesh_catch_up.rs
+++ b/tests/testsuite/mesh_catch_up.rs
@@ -14,6 +14,8 @@
 use buckthornwinch::delivery::message::RequestFailure;
 use buckthornwinch::delivery::message::RequestResult;
 use buckthornwinch::delivery::message::RoutedRequest;
+use buckthornwinch::peers::directory::CatchUpDraw;
+use buckthornwinch::peers::directory::KnownVersions;
 use buckthornwinch::peers::message::MemberRecord;
 use buckthornwinch::peers::message::PeerReport;
 use buckthornwinch::peers::message::UpstreamGauge;
@@ -170,3 +172,52 @@
 
     wait_for_version(&own).await
 }
+
+/// Returns how many of 300 sidecars that are behind ask at once if `ahead` of their
+/// peers are not, and how many of them the most asked peer gets.
+fn asks(ahead: u64) -> (usize, usize) {
+    const FLEET: u64 = 300;
+    let own = FleetState::new(member(FLEET, "127.0.0.1:1".parse().expect("an address")));
+    for incarnation in 1..FLEET {
+        let version = if incarnation <= ahead { NEW_VERSION } else { 1 };
+        let peer = member(incarnation, "127.0.0.1:2".parse().expect("an address"));
+        record_report(&own, &peer, version, 0);
+    }
+    let known = KnownVersions {
+        configuration: 1,
+        map: 0,
+    };
+    let directory = own.directory();
+    let asked: Vec<Incarnation> = (0..FLEET)
+        .filter_map(|number| {
+            let draw = CatchUpDraw {
+                member: (number * 7 % FLEET) as f64 / FLEET as f64,
+                turn: number as f64 / FLEET as f64,
+            };
+            let chosen =
+                directory.choose_ahead(known, since_boot(), Duration::from_secs(1), draw)?;
+            chosen.is_turn.then_some(chosen.peer.member.incarnation)
+        })
+        .collect();
+    let most = asked
+        .iter()
+        .map(|peer| asked.iter().filter(|other| *other == peer).count())
+        .max();
+    (asked.len(), most.unwrap_or(0))
+}
+
+/// Guards against a fleet that asks the only sidecar that knows a new map all at once:
+/// 309 of its questions timed out within a second.
+#[test]
+fn few_sidecars_at_a_time_ask_the_first_one_that_is_ahead() {
+    let (from_one, most_of_one) = asks(1);
+    let (from_ten, most_of_ten) = asks(10);
+    let (from_all, most_of_all) = asks(290);
+
+    assert!((1..=10).contains(&from_one), "{from_one}");
+    assert_eq!(most_of_one, from_one);
+    assert!((60..=90).contains(&from_ten), "{from_ten}");
+    assert!(most_of_ten <= 12, "{most_of_ten}");
+    assert_eq!(from_all, 300);
+    assert!(most_of_all <= 3, "{most_of_all}");
+}
