tests: resets and leaving upstreams are not taken for crashes

A request whose connections are reset six times runs as before; one at which three upstreams that had announced that they leave ended is not restricted.

--- a/tests/testsuite/mesh.rs
+++ b/tests/testsuite/mesh.rs
@@ -13,6 +13,7 @@
 use winch_standin::invariant_checker::InvariantChecker;
 use winch_standin::keyed_standin::KeyedSettings;
 use winch_standin::keyed_standin::KeyedStandin;
+use winch_standin::relay::TcpRelay;
 use winch_standin::sidecar_files::CONFIGURATION_KEY;
 use winch_standin::sidecar_files::MachinePorts;
 use winch_standin::sidecar_files::OPERATOR_TOPIC;
@@ -96,6 +97,8 @@
     pub(crate) machines: Vec<TestMachine>,
     pub(crate) sidecars: Vec<Option<TestSidecar>>,
     pub(crate) upstreams: Vec<KeyedStandin>,
+    /// The relays to the upstreams, if [`MeshOptions::relayed`].
+    pub(crate) relays: Vec<TcpRelay>,
     caller: MeshCaller,
 }
 
@@ -164,6 +167,8 @@
     pub(crate) at_most_once_prefix: &'static str,
     /// Prefix of the paths whose requests crash the upstream that runs them.
     pub(crate) crash_prefix: Option<&'static str>,
+    /// Whether each sidecar reaches its upstream through a relay.
+    pub(crate) relayed: bool,
 }
 
 impl Default for MeshOptions {
@@ -174,10 +179,17 @@
             sharded: true,
             at_most_once_prefix: "/",
             crash_prefix: None,
+            relayed: false,
         }
     }
 }
 
+/// Returns an address of the loopback network that is free at this moment.
+fn free_address() -> eyre::Result<SocketAddr> {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0))?;
+    Ok(listener.local_addr()?)
+}
+
 impl TestMesh {
     pub(crate) async fn start(count: u8) -> eyre::Result<Self> {
         Self::start_with(count, "direct").await
@@ -210,11 +222,21 @@
             })
             .collect();
         let mut upstreams = Vec::new();
+        let mut relays = Vec::new();
         for machine in &machines {
+            let address = if options.relayed {
+                free_address()?
+            } else {
+                machine.ports.upstream()
+            };
+            if options.relayed {
+                relays.push(TcpRelay::start_at(machine.ports.upstream(), address).await?);
+            }
             let settings = KeyedSettings::builder()
                 .instance(format!("instance-{}", machine.number))
                 .service(SERVICE)
-                .address(machine.ports.upstream())
+                .address(address)
+                .announced_address(machine.ports.upstream())
                 .announce_to(machine.ports.announcements())
                 .grants_by_heartbeat(grants == "heartbeat")
                 .sharded(options.sharded)
@@ -233,6 +255,7 @@
             machines,
             sidecars,
             upstreams,
+            relays,
             caller: MeshCaller::new()?,
         })
     }
--- a/tests/testsuite/mesh_quarantine.rs
+++ b/tests/testsuite/mesh_quarantine.rs
@@ -6,6 +6,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use winch_standin::keyed_standin::KeyedFaults;
 use winch_standin::sidecar_files::RouteSpec;
 use winch_standin::sidecar_files::configuration_text;
 use winch_standin::store_standin::StoreFaults;
@@ -233,3 +234,79 @@
     assert_eq!(deadly_arrivals(&mesh).len(), crashes);
     mesh.check()
 }
+
+/// Guards against blaming a request for connections that break while it runs: its
+/// upstream goes on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_connections_are_reset_is_not_blamed() -> eyre::Result<()> {
+    const SLOW_PATH: &str = "/prices/slow";
+    let options = MeshOptions {
+        relayed: true,
+        crash_prefix: None,
+        ..options(true)
+    };
+    let mut mesh = TestMesh::start_as(3, &options).await?;
+    mesh.wait_until_served(0).await.wrap_err("at the start")?;
+    for upstream in &mesh.upstreams {
+        upstream.set_faults(KeyedFaults {
+            extra_time: Duration::from_millis(150),
+            ..KeyedFaults::default()
+        });
+    }
+
+    for _reset in 0..2 * MAX_CRASHES {
+        let (caller, machine) = (mesh.caller(), mesh.machines[0]);
+        let sent = tokio::spawn(async move { caller.send_to(machine, SLOW_PATH, 7).await });
+        sleep(Duration::from_millis(60)).await;
+        for relay in &mesh.relays {
+            relay.reset();
+        }
+        drop(sent.await?);
+    }
+
+    let last = mesh
+        .caller()
+        .send_to(mesh.machines[1], SLOW_PATH, 7)
+        .await?;
+    assert_eq!(last.status().as_u16(), 200);
+    mesh.check()
+}
+
+/// Guards against blaming requests that an upstream breaks off as it leaves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_at_an_upstream_that_leaves_are_not_blamed() -> eyre::Result<()> {
+    const SLOW_PATH: &str = "/prices/slow";
+    let mut mesh = TestMesh::start_as(4, &options(false)).await?;
+    mesh.wait_until_served(0).await.wrap_err("at the start")?;
+    for upstream in &mesh.upstreams {
+        upstream.set_faults(KeyedFaults {
+            extra_time: Duration::from_secs(1),
+            ..KeyedFaults::default()
+        });
+    }
+
+    // One after the other, three of four upstreams announce that they leave, and end
+    // while they run the request.
+    for _leaving in 0..MAX_CRASHES {
+        let mut sent = JoinSet::new();
+        for machine in mesh.machines.clone() {
+            for _copy in 0..4 {
+                let caller = mesh.caller();
+                sent.spawn(async move { caller.send_to(machine, SLOW_PATH, 7).await.is_ok() });
+            }
+        }
+        sleep(Duration::from_millis(200)).await;
+        let leaving = mesh.upstreams.pop().expect("an upstream");
+        leaving.drain();
+        sleep(Duration::from_millis(400)).await;
+        drop(leaving);
+        sent.join_all().await;
+    }
+
+    let last = mesh
+        .caller()
+        .send_to(mesh.machines[0], SLOW_PATH, 7)
+        .await?;
+    assert_eq!(last.status().as_u16(), 200);
+    Ok(())
+}
