--- a/tests/testsuite/mesh_upstream.rs
+++ b/tests/testsuite/mesh_upstream.rs
@@ -262,3 +262,34 @@
     let known = registry.current().expect("announced");
     assert_eq!(known.phase, UpstreamPhase::Draining);
 }
+
+/// The end of an upstream that leaves is not a crash.
+#[test]
+fn an_upstream_leaves_if_it_has_announced_stated_or_deregistered_it() {
+    let announced = announcement("i-1", 100, 5);
+    let serving = registry(&announced);
+    let draining = registry(&AnnouncedUpstream {
+        draining: true,
+        ..announced.clone()
+    });
+    let stated = registry(&announced);
+    stated.record_condition(
+        1,
+        UpstreamCondition {
+            leaving: true,
+            ..UpstreamCondition::default()
+        },
+    );
+    let deregistered = registry(&announced);
+    deregistered.deregister("i-1");
+    let is_leaving = |registry: &LocalUpstreamRegistry| {
+        registry.is_leaving(&registry.current().expect("an upstream"))
+    };
+
+    assert!(!is_leaving(&serving));
+    assert!(is_leaving(&draining));
+    assert!(is_leaving(&stated));
+    assert!(is_leaving(&deregistered));
+    draining.record_refused_connection(1);
+    assert!(is_leaving(&draining), "also after its end");
+}
