--- a/tests/testsuite/endless_bytes.rs
+++ b/tests/testsuite/endless_bytes.rs
@@ -6,20 +6,12 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
-use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use buckthornwinch::delivery::message::RoutedRequest;
-use buckthornwinch::peers::message::UpstreamPhase;
 use buckthornwinch::ranges::grants::GrantOutcome;
 use buckthornwinch::ranges::grants::RangeGrant;
-use buckthornwinch::sidecar::upstream::AnnouncedUpstream;
-use buckthornwinch::sidecar::upstream::LocalUpstream;
-use buckthornwinch::sidecar::upstream::UpstreamCall;
 use buckthornwinch::sidecar::upstream::UpstreamClient;
-use buckthornwinch::state::record::ChainKey;
-use buckthornwinch::state::record::ChainSubject;
 use buckthornwinch::store::StateStore;
 use buckthornwinch::store::StoreError;
 use buckthornwinch::store::StoreTopic;
@@ -27,6 +19,8 @@
 use winch_platform::store::StoreClient;
 use winch_platform::upstream::HttpUpstreamClient;
 
+use crate::upstream_call::upstream_call;
+
 /// Most bytes that a client may take before it closes: its largest limit, and the
 /// buffers of two sockets.
 const MAX_TAKEN_BYTES: usize = 48 * 1024 * 1024;
@@ -57,49 +51,6 @@
     (address, thread)
 }
 
-fn call(address: SocketAddr) -> UpstreamCall {
-    let announced = AnnouncedUpstream {
-        instance: "i-1".into(),
-        started_unix_ms: None,
-        sequence: 1,
-        service: "orders".into(),
-        address,
-        slots: 1,
-        draining: false,
-    };
-    let request = RoutedRequest {
-        chain: ChainKey {
-            service: "orders".into(),
-            subject: ChainSubject::Any,
-        },
-        key: Box::default(),
-        class: "orders".into(),
-        remaining: None,
-        target: None,
-        idempotency_key: None,
-        attempt: 1,
-        caller: "shop".into(),
-        method: "GET".into(),
-        path: "/orders/1".into(),
-        headers: vec![("request-id".into(), "1".into())],
-        body: bytes::Bytes::new(),
-        stated: None,
-        crashes: None,
-    };
-    UpstreamCall {
-        upstream: LocalUpstream {
-            announced,
-            phase: UpstreamPhase::Ready,
-            ended: false,
-            last_heard: Duration::ZERO,
-            condition: None,
-            process_number: 1,
-        },
-        request: Arc::new(request),
-        remaining: Duration::from_mins(1),
-    }
-}
-
 /// Waits until the client has closed the connection and checks how much it took.
 /// Waits on another thread, since the client closes on this one.
 async fn assert_bounded(server: JoinHandle<usize>) {
@@ -112,7 +63,9 @@
 async fn an_endless_response_body_ends_as_truncated() {
     let (address, server) = start_endless(ENDLESS_BODY);
 
-    let result = HttpUpstreamClient::new(address).run(call(address)).await;
+    let result = HttpUpstreamClient::new(address)
+        .run(upstream_call(address, "1"))
+        .await;
 
     assert_eq!(result, Err(CallError::Truncated));
     assert_bounded(server).await;
@@ -122,7 +75,9 @@
 async fn an_endless_response_head_ends_as_lost() {
     let (address, server) = start_endless(ENDLESS_HEAD);
 
-    let result = HttpUpstreamClient::new(address).run(call(address)).await;
+    let result = HttpUpstreamClient::new(address)
+        .run(upstream_call(address, "1"))
+        .await;
 
     assert_eq!(result, Err(CallError::Lost));
     assert_bounded(server).await;
--- a/tests/testsuite/faulty_upstream.rs
+++ b/tests/testsuite/faulty_upstream.rs
@@ -6,69 +6,19 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
-use std::sync::Arc;
-use std::time::Duration;
-
-use buckthornwinch::delivery::message::RoutedRequest;
-use buckthornwinch::peers::message::UpstreamPhase;
-use buckthornwinch::sidecar::upstream::AnnouncedUpstream;
-use buckthornwinch::sidecar::upstream::LocalUpstream;
-use buckthornwinch::sidecar::upstream::UpstreamCall;
+
 use buckthornwinch::sidecar::upstream::UpstreamClient;
-use buckthornwinch::state::record::ChainKey;
-use buckthornwinch::state::record::ChainSubject;
 use buckthornwinch::upstream::service::CallError;
 use winch_platform::upstream::HttpUpstreamClient;
 
+use crate::upstream_call::upstream_call;
+
 const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n\
                        Request-Id: 1\r\nContent-Length: 0\r\n\r\n";
 
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nResponse-Signature: s\r\n\
                       Content-Length: 5\r\n\r\nwhole";
 
-fn call(address: SocketAddr, id: &'static str) -> UpstreamCall {
-    let announced = AnnouncedUpstream {
-        instance: "i-1".into(),
-        started_unix_ms: None,
-        sequence: 1,
-        service: "orders".into(),
-        address,
-        slots: 1,
-        draining: false,
-    };
-    let request = RoutedRequest {
-        chain: ChainKey {
-            service: "orders".into(),
-            subject: ChainSubject::Any,
-        },
-        key: Box::default(),
-        class: "orders".into(),
-        remaining: None,
-        target: None,
-        idempotency_key: None,
-        attempt: 1,
-        caller: "shop".into(),
-        method: "GET".into(),
-        path: "/orders/1".into(),
-        headers: vec![("request-id".into(), id.into())],
-        body: bytes::Bytes::new(),
-        stated: None,
-        crashes: None,
-    };
-    UpstreamCall {
-        upstream: LocalUpstream {
-            announced,
-            phase: UpstreamPhase::Ready,
-            ended: false,
-            last_heard: Duration::ZERO,
-            condition: None,
-            process_number: 1,
-        },
-        request: Arc::new(request),
-        remaining: Duration::from_secs(5),
-    }
-}
-
 /// Starts an upstream that passes each connection, with its number from 0, to `serve`
 /// in a thread of its own.
 fn start(serve: impl Fn(TcpStream, usize) + Clone + Send + 'static) -> SocketAddr {
@@ -116,11 +66,11 @@
     let address = start(refuse_twice);
     let client = HttpUpstreamClient::new(address);
     assert_eq!(
-        client.clone().run(call(address, "1")).await,
+        client.clone().run(upstream_call(address, "1")).await,
         Err(CallError::Refused)
     );
 
-    let next = client.run(call(address, "1")).await;
+    let next = client.run(upstream_call(address, "1")).await;
 
     assert_eq!(next.map(|response| response.status), Ok(200));
 }
@@ -130,11 +80,11 @@
     let address = start(refuse_twice);
     let client = HttpUpstreamClient::new(address);
     assert_eq!(
-        client.clone().run(call(address, "1")).await,
+        client.clone().run(upstream_call(address, "1")).await,
         Err(CallError::Refused)
     );
 
-    let other = client.run(call(address, "2")).await;
+    let other = client.run(upstream_call(address, "2")).await;
 
     assert_eq!(other, Err(CallError::Lost));
 }
@@ -150,7 +100,7 @@
         });
 
         let result = HttpUpstreamClient::new(address)
-            .run(call(address, "1"))
+            .run(upstream_call(address, "1"))
             .await;
 
         assert!(
@@ -173,7 +123,7 @@
         });
 
         let result = HttpUpstreamClient::new(address)
-            .run(call(address, "1"))
+            .run(upstream_call(address, "1"))
             .await;
 
         assert_eq!(result, Err(CallError::Lost), "after {length} bytes");
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -72,6 +72,7 @@
 mod telemetry;
 mod transport_frames;
 mod transport_link;
+mod upstream_call;
 mod upstream_http;
 mod winchctl;
 mod winchd_command;
