--- a/src/sidecar/fleet.rs
+++ b/src/sidecar/fleet.rs
@@ -99,7 +99,7 @@
     pub catch_up_request: Notify,
     /// Notified to send a status report to some peers at once, because this sidecar
     /// has caught up and can serve others that are behind.
-    pub tell_some_peers: Notify,
+    pub report_to_some: Notify,
     /// Notified to send a status report to all peers at once.
     pub report_now: Notify,
     /// Peers that may not know this sidecar and get a report at once.
@@ -127,7 +127,7 @@
             operator_read_request: Notify::new(),
             fleet_read_request: Notify::new(),
             catch_up_request: Notify::new(),
-            tell_some_peers: Notify::new(),
+            report_to_some: Notify::new(),
             report_now: Notify::new(),
             introductions: Mutex::default(),
             introduce_now: Notify::new(),
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -312,7 +312,7 @@
             Ok(Some(encoded)) => match fleet.install(&encoded) {
                 Ok(()) => {
                     log::info!(peer = &*peer.node; "fleet: caught up from a peer");
-                    fleet.tell_some_peers.notify_one();
+                    fleet.report_to_some.notify_one();
                 }
                 Err(error) => {
                     log::warn!(peer = &*peer.node, error:% = error; "fleet: cannot decode a peer's state");
--- a/src/sidecar/gossip.rs
+++ b/src/sidecar/gossip.rs
@@ -80,7 +80,7 @@
                 Ok(()) = upstream.changed() => ReportScope::All,
                 Ok(()) = leaving.changed() => ReportScope::All,
                 Ok(()) = routes.changed() => ReportScope::Some,
-                () = self.fleet.tell_some_peers.notified() => ReportScope::Some,
+                () = self.fleet.report_to_some.notified() => ReportScope::Some,
                 () = self.fleet.introduce_now.notified() => ReportScope::Introductions,
             };
             sequence += 1;
--- a/src/sidecar/quarantine.rs
+++ b/src/sidecar/quarantine.rs
@@ -100,27 +100,29 @@
         let records = self.ledger().record_crash(lost, since_boot());
         log::warn!(requests = lost.len(); "quarantine: the upstream crashed");
         for record in &records {
-            self.follow_verdict(record, "crash");
+            self.log_if_quarantined(record, "crash");
             if self.is_quarantined(record.fingerprint) {
                 lock(&self.verdicts).push(record.fingerprint);
                 self.verdict_added.notify_one();
             }
         }
-        self.tell(records);
+        self.announce(records);
     }
 
     /// Records that the local upstream ran a request to its end, and tells the peers
     /// if that changes how it may run.
     pub fn record_success(&self, request: StartedRequest) {
-        let record = self.ledger().record_success(request, since_boot());
-        self.tell(record);
+        let changed = self.ledger().record_success(request, since_boot());
+        if let Some(record) = changed {
+            self.announce(vec![record]);
+        }
     }
 
     /// Adds what another sidecar or the store knows; `source` names it in the log.
     pub fn merge(&self, record: CrashRecord, source: &str) {
         let is_news = self.ledger().merge(record, since_boot());
         if is_news {
-            self.follow_verdict(&record, source);
+            self.log_if_quarantined(&record, source);
         }
     }
 
@@ -137,7 +139,7 @@
         matches!(self.standing(fingerprint), RequestStanding::Quarantined(_))
     }
 
-    fn follow_verdict(&self, record: &CrashRecord, source: &str) {
+    fn log_if_quarantined(&self, record: &CrashRecord, source: &str) {
         if let RequestStanding::Quarantined(left) = self.standing(record.fingerprint) {
             log::warn!(
                 fingerprint = format!("{:016x}", record.fingerprint), source = source,
@@ -147,7 +149,7 @@
         }
     }
 
-    fn tell(&self, records: impl IntoIterator<Item = CrashRecord>) {
+    fn announce(&self, records: Vec<CrashRecord>) {
         lock(&self.news).extend(records);
         self.news_added.notify_one();
     }
