--- a/review/standin/src/case2.rs
+++ b/review/standin/src/case2.rs
@@ -19,9 +19,10 @@
 use crate::endpoint::Work;
 use crate::machine::Machine;
 
-const CALLERS: u32 = 40;
-const ADDED: u8 = 8;
-const ADD_INTERVAL: Duration = Duration::from_secs(6);
+const CALLERS: u32 = 54;
+const ROLLS: u8 = 9;
+const ROLL_INTERVAL: Duration = Duration::from_millis(3_500);
+const GRACE: Duration = Duration::from_secs(6);
 
 pub fn run(run: &Run) -> Verdict {
     let catalogue = Work {
@@ -57,24 +58,22 @@
     );
     let mut machines: Vec<Machine> = Vec::new();
     let mut endpoints: Vec<Arc<Endpoint>> = Vec::new();
-    let mut add = |service: &'static str| {
+    for service in ["orders", "catalogue", "catalogue", "catalogue", "catalogue"] {
         let mut machine = run.site.machine(machines.len() as u8 + 1, service);
         machine.start(&run.site);
-        wait_ready(&[&machine], Duration::from_secs(2));
         let work = if service == "catalogue" { catalogue } else { orders };
         let endpoint = Endpoint::start(&machine, work, run.site.heartbeat_ms, &run.record, &run.seen);
-        // At most three in five of the endpoints are faulty.
+        // Three of the five endpoints are faulty.
         endpoint
             .repeats
-            .store(run.trouble && machine.number % 2 == 1, Ordering::Relaxed);
+            .store(run.trouble && (2..=4).contains(&machine.number), Ordering::Relaxed);
         endpoints.push(endpoint);
         machines.push(machine);
-        machines[0].outbound()
-    };
-    let at = add("orders");
-    for _ in 0..3 {
-        add("catalogue");
     }
+    if !wait_ready(&machines.iter().collect::<Vec<_>>(), Duration::from_secs(10)) {
+        return Verdict::NotRun;
+    }
+    let at = machines[0].outbound();
     std::thread::sleep(Duration::from_secs(4));
     let over = AtomicBool::new(false);
     let answers = Mutex::new(Vec::new());
@@ -93,12 +92,14 @@
                 }
             });
         }
-        for _ in 0..ADDED {
-            std::thread::sleep(ADD_INTERVAL);
-            run.record.line("an endpoint is added");
-            add("catalogue");
+        for _ in 0..ROLLS {
+            run.record
+                .line("platform: SIGTERM to the sidecar of machine 5, and a new start");
+            machines[4].terminate();
+            machines[4].wait_end(GRACE);
+            machines[4].start(&run.site);
+            std::thread::sleep(ROLL_INTERVAL);
         }
-        std::thread::sleep(ADD_INTERVAL);
         over.store(true, Ordering::Relaxed);
     });
     let answers = answers.into_inner().unwrap();
--- a/review/standin/src/endpoint.rs
+++ b/review/standin/src/endpoint.rs
@@ -1,6 +1,7 @@
 //! An endpoint of a service: it pings its sidecar, takes grants and releases, and
 //! runs requests.
 
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -73,6 +74,13 @@
 pub struct Endpoint {
     number: u8,
     id: String,
+    service: &'static str,
+    address: SocketAddr,
+    /// Where its sidecar takes pings.
+    control: SocketAddr,
+    born: u128,
+    pings: AtomicUsize,
+    silent: AtomicBool,
     work: Work,
     record: Record,
     seen: Arc<Seen>,
@@ -97,6 +105,14 @@
         let endpoint = Arc::new(Self {
             number: machine.number,
             id: format!("i-{}", machine.number),
+            service: machine.service,
+            address: machine.app(),
+            control: machine.control(),
+            born: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |time| time.as_millis()),
+            pings: AtomicUsize::new(0),
+            silent: AtomicBool::new(false),
             work,
             record: record.clone(),
             seen: Arc::clone(seen),
@@ -119,35 +135,46 @@
             Arc::new(move |connection, message| shared.answer(connection, &message)),
         );
         let shared = Arc::clone(&endpoint);
-        let (control, app, service) = (machine.control(), machine.app(), machine.service);
         std::thread::spawn(move || {
-            let born = SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .map_or(0, |time| time.as_millis());
-            for seq in 1.. {
-                if shared.stopped.load(Ordering::Relaxed) {
-                    return;
+            while !shared.stopped.load(Ordering::Relaxed) {
+                if !shared.silent.load(Ordering::Relaxed) {
+                    let ping = shared.next_ping();
+                    shared.send_ping(&ping);
                 }
-                let body = format!(
-                    "{{\"service\":\"{service}\",\"address\":\"{app}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":{},\
-                     \"state\":\"ready\",\"coldRemaining\":\"0ms\",\"seq\":{seq},\"born\":{born}}}",
-                    shared.work.slots
-                );
-                let path = format!("POST {}{}", name("heartbeat"), shared.id);
-                // The sidecar may be down; the next ping follows at its time.
-                let _ = call(
-                    control,
-                    &path,
-                    &[("content-type", "application/json")],
-                    body.as_bytes(),
-                    Duration::from_secs(1),
-                );
                 std::thread::sleep(Duration::from_millis(heartbeat_ms));
             }
         });
         endpoint
     }
 
+    /// Returns the body of the endpoint's next ping, with the state `ready`.
+    pub fn next_ping(&self) -> String {
+        format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":{},\
+             \"state\":\"ready\",\"coldRemaining\":\"0ms\",\"seq\":{},\"born\":{}}}",
+            self.service,
+            self.address,
+            self.work.slots,
+            1 + self.pings.fetch_add(1, Ordering::Relaxed),
+            self.born
+        )
+    }
+
+    /// Sends a ping. The sidecar may be down; the next one follows at its time.
+    pub fn send_ping(&self, body: &str) {
+        let path = format!("POST {}{}", name("heartbeat"), self.id);
+        let headers = [("content-type", "application/json")];
+        let _ = call(self.control, &path, &headers, body.as_bytes(), Duration::from_secs(1));
+    }
+
+    /// Sends no more pings from now on, and deregisters. Returns whether that was
+    /// acknowledged. The endpoint goes on serving.
+    pub fn deregister(&self) -> bool {
+        self.silent.store(true, Ordering::Relaxed);
+        let path = format!("POST {}{}", name("deregister"), self.id);
+        call(self.control, &path, &[], &[], Duration::from_secs(1)).is_ok_and(|answer| answer.status() == 200)
+    }
+
     /// The endpoint's machine loses power: it pings, serves and holds no more.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::Relaxed);
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod case2;
 mod case3;
 mod case4;
+mod case5;
 mod client;
 mod endpoint;
 mod http;
@@ -60,6 +61,7 @@
         "2" => case2::run(&run),
         "3" => case3::run(&run),
         "4" => case4::run(&run),
+        "5" => case5::run(&run),
         _ => Verdict::NotRun,
     };
     let (code, text) = match verdict {
