--- a/review/standin/src/machine.rs
+++ b/review/standin/src/machine.rs
@@ -163,6 +163,24 @@
         false
     }
 
+    /// Returns whether the sidecar's process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.process.as_mut().map(Child::try_wait), Some(Ok(None)))
+    }
+
+    /// Returns the resident memory of the sidecar; 0 if it doesn't run.
+    pub fn memory_kb(&self) -> u64 {
+        let status = self
+            .process
+            .as_ref()
+            .and_then(|process| std::fs::read_to_string(format!("/proc/{}/status", process.id())).ok());
+        let used = status.as_deref().and_then(|status| {
+            let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+            line.trim().trim_end_matches(" kB").trim().parse().ok()
+        });
+        used.unwrap_or(0)
+    }
+
     pub fn is_ready(&self) -> bool {
         let answer = call(self.at(1), "GET /ready", &[], &[], Duration::from_millis(500));
         answer.is_ok_and(|answer| answer.status() == 200)
