--- a/review/standin/src/case1.rs
+++ b/review/standin/src/case1.rs
@@ -60,7 +60,15 @@
             },
         ],
     );
-    let mut machines = [run.site.machine(1, "desk"), run.site.machine(2, "orders")];
+    // A reset concerns machines 1 and 2, which are a share of 0.33.
+    let mut machines = [
+        run.site.machine(1, "desk"),
+        run.site.machine(2, "orders"),
+        run.site.machine(3, "desk"),
+        run.site.machine(4, "desk"),
+        run.site.machine(5, "desk"),
+        run.site.machine(6, "desk"),
+    ];
     let links: Vec<Link> = machines
         .iter()
         .map(|machine| Link::start(machine, LINK_BYTES_PER_S))
