--- a/review/standin/src/case2.rs
+++ b/review/standin/src/case2.rs
@@ -20,8 +20,10 @@
 use crate::machine::Machine;
 
 const CALLERS: u32 = 54;
-const ROLLS: u8 = 9;
-const ROLL_INTERVAL: Duration = Duration::from_millis(3_500);
+const ROLLS: u8 = 12;
+/// How long endpoints are faulty at a time, as in the site file.
+const SPELL: Duration = Duration::from_secs(5);
+const ROLL_INTERVAL: Duration = Duration::from_millis(2_000);
 const GRACE: Duration = Duration::from_secs(6);
 
 pub fn run(run: &Run) -> Verdict {
@@ -63,10 +65,6 @@
         machine.start(&run.site);
         let work = if service == "catalogue" { catalogue } else { orders };
         let endpoint = Endpoint::start(&machine, work, run.site.heartbeat_ms, &run.record, &run.seen);
-        // Three of the five endpoints are faulty.
-        endpoint
-            .repeats
-            .store(run.trouble && (2..=4).contains(&machine.number), Ordering::Relaxed);
         endpoints.push(endpoint);
         machines.push(machine);
     }
@@ -93,11 +91,23 @@
             });
         }
         for _ in 0..ROLLS {
+            // Three of the five endpoints are faulty, for a spell of 5 s at a time.
+            let spell = std::time::Instant::now();
+            let set_faulty = |faulty: bool| {
+                for endpoint in &endpoints[1..=3] {
+                    endpoint.set_faulty(run.trouble && faulty);
+                }
+                run.record
+                    .line(&format!("endpoints 2 to 4 are faulty: {}", run.trouble && faulty));
+            };
+            set_faulty(true);
             run.record
                 .line("platform: SIGTERM to the sidecar of machine 5, and a new start");
             machines[4].terminate();
             machines[4].wait_end(GRACE);
             machines[4].start(&run.site);
+            std::thread::sleep(SPELL.saturating_sub(spell.elapsed()));
+            set_faulty(false);
             std::thread::sleep(ROLL_INTERVAL);
         }
         over.store(true, Ordering::Relaxed);
--- a/review/standin/src/endpoint.rs
+++ b/review/standin/src/endpoint.rs
@@ -90,7 +90,7 @@
     stopped: AtomicBool,
     /// Whether the endpoint is faulty: it writes up to [`EXTRA_SHARE`] of its answers
     /// once more. Set at run time.
-    pub repeats: AtomicBool,
+    repeats: AtomicBool,
     answers: AtomicUsize,
     extras: AtomicUsize,
 }
@@ -147,6 +147,14 @@
         endpoint
     }
 
+    /// Begins or ends a spell in which the endpoint is faulty. The share of its answers
+    /// that it writes once more is counted for each spell.
+    pub fn set_faulty(&self, faulty: bool) {
+        self.answers.store(0, Ordering::Relaxed);
+        self.extras.store(0, Ordering::Relaxed);
+        self.repeats.store(faulty, Ordering::Relaxed);
+    }
+
     /// Returns the body of the endpoint's next ping, with the state `ready`.
     pub fn next_ping(&self) -> String {
         format!(
