sidecar: remember across restarts that an upstream leaves

Cause: the departure was kept in the sidecar's memory alone. The process that replaced it after a kill took a late announcement, the first of its life, for the present state. The log shows `upstream: changed` to `Ready` at the late announcement and nothing of a departure before it.

Departures now name the process of the upstream. Written again after a restore.

For innocent callers nothing waits longer; a departure costs one write to the store.

--- a/crates/winch-standin/src/invariant_checker.rs
+++ b/crates/winch-standin/src/invariant_checker.rs
@@ -175,6 +175,11 @@
         self.lock().drained.entry(instance.into()).or_insert(at);
     }
 
+    /// Returns whether the sidecar of an upstream has acknowledged that it drains.
+    pub fn is_draining(&self, instance: &str) -> bool {
+        self.lock().drained.contains_key(instance)
+    }
+
     /// Records that an upstream sends a response that states `limit`, in requests per
     /// second; `None` if it states none.
     pub fn record_limit(&self, instance: &str, limit: Option<f64>) {
--- a/crates/winch-standin/src/keyed_standin.rs
+++ b/crates/winch-standin/src/keyed_standin.rs
@@ -18,6 +18,7 @@
 
 use bytes::Bytes;
 use eyre::WrapErr;
+use serde_json::Value;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
@@ -120,6 +121,10 @@
 struct UpstreamHistory {
     faults: Mutex<KeyedFaults>,
     draining: AtomicBool,
+    /// Whether it announces nothing any more.
+    silent: AtomicBool,
+    /// The newest announcement that it sent before it began to leave.
+    newest_ready: Mutex<Option<Value>>,
     arrivals: Mutex<Vec<(Instant, Box<str>)>>,
 }
 
@@ -146,6 +151,8 @@
 /// A running upstream. Dropping it simulates a crash.
 #[derive(Debug)]
 pub struct KeyedStandin {
+    settings: KeyedSettings,
+    checker: InvariantChecker,
     history: Arc<UpstreamHistory>,
     events: mpsc::Sender<UpstreamEvent>,
     supervisor: Option<std::thread::JoinHandle<()>>,
@@ -169,8 +176,11 @@
             events: events.clone(),
         };
         let first = start_process(Arc::new(shared.clone()))?;
+        let (settings, checker) = (shared.settings.clone(), shared.checker.clone());
         let supervisor = std::thread::spawn(move || supervise(&shared, first, &received));
         Ok(Self {
+            settings,
+            checker,
             history,
             events,
             supervisor: Some(supervisor),
@@ -203,6 +213,56 @@
     pub fn drain(&self) {
         self.history.draining.store(true, Ordering::Relaxed);
     }
+
+    /// Sends no announcement from now on. The upstream still serves requests.
+    pub fn fall_silent(&self) {
+        self.history.silent.store(true, Ordering::Relaxed);
+    }
+
+    /// Deregisters the upstream, which announces nothing from now on. It still serves
+    /// requests.
+    ///
+    /// # Errors
+    ///
+    /// Fails unless the sidecar acknowledges it.
+    pub async fn deregister(&self) -> eyre::Result<()> {
+        self.fall_silent();
+        let url = format!(
+            "http://{}/Instances.Deregister/{}",
+            self.settings.announce_to, self.settings.instance
+        );
+        let call = reqwest::Client::new().post(url).timeout(ANSWER_TIMEOUT);
+        call.send().await?.error_for_status()?;
+        self.checker
+            .record_drain(&self.settings.instance, Instant::now());
+        Ok(())
+    }
+
+    /// Sends once more the newest announcement from before the upstream began to
+    /// leave, as if it had been delayed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none, or unless the sidecar answers it with success.
+    pub async fn repeat_announcement(&self) -> eyre::Result<()> {
+        let body = {
+            let newest = &self.history.newest_ready;
+            let newest = newest.lock().unwrap_or_else(PoisonError::into_inner);
+            newest.clone()
+        };
+        let body = body.ok_or_else(|| eyre::eyre!("nothing was announced yet"))?;
+        let url = heartbeat_url(&self.settings);
+        let call = reqwest::Client::new().post(url).timeout(ANSWER_TIMEOUT);
+        call.json(&body).send().await?.error_for_status()?;
+        Ok(())
+    }
+}
+
+fn heartbeat_url(settings: &KeyedSettings) -> String {
+    format!(
+        "http://{}/Instances.Heartbeat/{}",
+        settings.announce_to, settings.instance
+    )
 }
 
 impl Drop for KeyedStandin {
@@ -283,11 +343,11 @@
 async fn announce(shared: Arc<UpstreamShared>) {
     let client = reqwest::Client::new();
     let settings = &shared.settings;
-    let url = format!(
-        "http://{}/Instances.Heartbeat/{}",
-        settings.announce_to, settings.instance
-    );
+    let url = heartbeat_url(settings);
     for number in 1_u64.. {
+        if shared.history.silent.load(Ordering::Relaxed) {
+            return;
+        }
         let draining = shared.history.draining.load(Ordering::Relaxed);
         let state = if draining { "draining" } else { "ready" };
         let mut body = json!({
@@ -300,6 +360,10 @@
             let (holds, released, leaving) = shared.keys.report();
             (body["holds"], body["released"], is_leaving) = (holds, released, leaving);
         }
+        if !draining {
+            let newest = &shared.history.newest_ready;
+            *newest.lock().unwrap_or_else(PoisonError::into_inner) = Some(body.clone());
+        }
         let sent = Instant::now();
         let next = sent + ANNOUNCE_INTERVAL;
         let call = client.post(&url).timeout(ANSWER_TIMEOUT).json(&body).send();
--- a/src/peers/directory.rs
+++ b/src/peers/directory.rs
@@ -13,6 +13,8 @@
 use crate::base::ids::NodeName;
 use crate::base::ids::Offset;
 use crate::base::ids::Version;
+use crate::upstream::departure::DepartedUpstream;
+use crate::upstream::departure::DepartureList;
 
 /// Number of report intervals without a report after which a member counts as
 /// silent. It exceeds 2 because two lost datagrams in a row are common on a lossy
@@ -44,6 +46,9 @@
     pub map: Offset,
     /// Whether the process is leaving the fleet.
     pub leaving: bool,
+    /// Processes of its upstream that leave, also by the reports of former processes
+    /// of the node.
+    departures: DepartureList,
     /// Sequence number of its newest report.
     sequence: u64,
     /// When its newest report was received.
@@ -58,6 +63,7 @@
             configuration: 0,
             map: 0,
             leaving: false,
+            departures: DepartureList::default(),
             sequence: 0,
             last_report_at: None,
         }
@@ -136,10 +142,12 @@
         }
         let node = member.node.clone();
         self.nodes.insert(member.incarnation, node.clone());
-        let former = self.peers.insert(node, KnownPeer::announced(member));
-        if let Some(former) = former {
+        let mut peer = KnownPeer::announced(member);
+        if let Some(former) = self.peers.remove(&node) {
             self.nodes.remove(&former.member.incarnation);
+            peer.departures = former.departures;
         }
+        self.peers.insert(node, peer);
         true
     }
 
@@ -172,6 +180,7 @@
         peer.configuration = report.configuration;
         peer.map = report.map;
         peer.leaving = report.leaving;
+        peer.departures.merge(&report.departures);
         peer.sequence = report.sequence;
         let has_reported = peer.last_report_at.replace(now).is_some();
         if is_new || !has_reported || accepted != peer.accepts_requests() {
@@ -181,6 +190,14 @@
         }
     }
 
+    /// Returns the departures that a former process of a report's sender has reported
+    /// and the report lacks.
+    pub fn missing_departures(&self, report: &PeerReport) -> Vec<DepartedUpstream> {
+        self.find(report.incarnation).map_or_else(Vec::new, |peer| {
+            peer.departures.missing_in(&report.departures)
+        })
+    }
+
     /// Clears the time of the newest report of the member at an address, which does
     /// not know this process. Reports to members without such a time carry the
     /// member record of this process.
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -15,6 +15,7 @@
 use crate::quarantine::ledger::CrashRecord;
 use crate::ranges::edit::MapEdit;
 use crate::upstream::condition::RequestRate;
+use crate::upstream::departure::DepartedUpstream;
 
 /// The member record of a process, which it announces in the store when it
 /// starts.
@@ -93,6 +94,8 @@
     pub leaving: bool,
     /// Requests that crash upstreams and may not run freely.
     pub restricted: Vec<CrashRecord>,
+    /// Processes of its upstream that leave.
+    pub departures: Vec<DepartedUpstream>,
 }
 
 /// A datagram between sidecars.
@@ -106,6 +109,9 @@
     AskMember,
     /// Announces what is newly known of requests that were in crashes of upstreams.
     Crashes(Vec<CrashRecord>),
+    /// Returns departures that the recipient does not report, but a former process of
+    /// its node has reported.
+    Departures(Vec<DepartedUpstream>),
     /// Announces an edit of the range map that the sender wrote to the store.
     MapEdited {
         /// Offset of the map that was edited.
--- a/src/sidecar/fleet.rs
+++ b/src/sidecar/fleet.rs
@@ -52,7 +52,7 @@
 
 /// An era of the store.
 #[derive(Debug, Clone, Copy, Default)]
-struct ObservedEra {
+pub(super) struct ObservedEra {
     era: StoreEra,
     /// When a read first showed it, by the clock of [`since_boot`].
     since: Duration,
@@ -194,6 +194,11 @@
         }
     }
 
+    /// Subscribes to the store's coming back from a copy.
+    pub(super) fn watch_era(&self) -> watch::Receiver<ObservedEra> {
+        self.era.subscribe()
+    }
+
     /// Returns the time since the store was first seen in its present era, if the
     /// newest known map was written in a former one: the store may have lost it.
     /// `None` if the map was written in the present era.
--- a/src/sidecar/gossip.rs
+++ b/src/sidecar/gossip.rs
@@ -103,6 +103,7 @@
             map: self.fleet.map().offset,
             leaving: *self.leaving.borrow(),
             restricted: self.fleet.quarantine.restricted(),
+            departures: self.registry.departures().entries(),
         };
         let long = PeerReport {
             member: Some(self.fleet.own().clone()),
@@ -178,10 +179,12 @@
 }
 
 /// Receives datagrams from peers until the process ends. Reports and map
-/// changes are applied to `fleet`; everything else goes to `controller`.
+/// changes are applied to `fleet`, departures to `registry`; everything else goes to
+/// `controller`.
 pub async fn receive_datagrams(
     socket: DatagramSocket,
     fleet: Arc<FleetState>,
+    registry: LocalUpstreamRegistry,
     controller: mpsc::Sender<ControllerEvent>,
 ) {
     loop {
@@ -195,6 +198,9 @@
             Ok((_from, Ok(PeerDatagram::Crashes(records)))) => {
                 merge_crashes(&fleet, &records, "news");
             }
+            Ok((_from, Ok(PeerDatagram::Departures(departures)))) => {
+                registry.recall_departures(&departures, "peer");
+            }
             Ok((_from, Ok(PeerDatagram::MapEdited { base, at, edit }))) => {
                 fleet.apply_edit(base, at, &edit);
             }
@@ -223,7 +229,14 @@
     report: PeerReport,
 ) {
     merge_crashes(fleet, &report.restricted, "report");
-    let outcome = fleet.directory().record_report(report, since_boot());
+    let (outcome, missing) = {
+        let mut directory = fleet.directory();
+        let missing = directory.missing_departures(&report);
+        (directory.record_report(report, since_boot()), missing)
+    };
+    if !missing.is_empty() {
+        socket.send(from, &PeerDatagram::Departures(missing));
+    }
     match outcome {
         ReportOutcome::UnknownSender => socket.send(from, &PeerDatagram::AskMember),
         ReportOutcome::Unchanged => {}
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -15,6 +15,7 @@
 //! * [`controller`]: acquires, serves and hands over key ranges.
 //! * [`reconcile`]: decides which change of the range map is due.
 //! * [`moves`]: tracks a planned move of ranges to other sidecars.
+//! * [`departures`]: remembers across restarts which upstreams leave.
 //! * [`upstream`]: state of the local upstream, and the calls made to it.
 //! * [`retry_policy`] and [`retry_budget`]: when a failed attempt is retried,
 //!   and how many retries this sidecar may send.
@@ -29,6 +30,7 @@
 mod conditions;
 pub mod controller;
 pub mod crash_watch;
+pub mod departures;
 pub mod dispatch;
 pub mod fleet;
 pub mod follow;
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -20,6 +20,8 @@
 use super::controller::RangeController;
 use super::controller::RangeGate;
 use super::crash_watch::CrashWatch;
+use super::departures::recall_stored;
+use super::departures::store_departures;
 use super::dispatch::SidecarDispatcher;
 use super::fleet::FleetState;
 use super::follow::ConfigurationDecoder;
@@ -47,6 +49,7 @@
 use crate::peers::message::MemberRecord;
 use crate::peers::message::UpstreamPhase;
 use crate::store::StateStore;
+use crate::store::StorePage;
 use crate::store::StoreTopic;
 use crate::telemetry::request_log::RequestLog;
 use crate::transport::datagram::DatagramSocket;
@@ -123,16 +126,16 @@
         id_header: &str,
     ) -> eyre::Result<Self> {
         let settings = Arc::new(settings);
-        let former = former_incarnation(&store, &settings.node).await;
+        let former = read_former_process(&store, &settings.node).await;
         let member = MemberRecord {
-            incarnation: next_incarnation(former),
+            incarnation: next_incarnation(former.incarnation),
             node: settings.node.clone(),
             address: settings.advertised_peers,
             service: settings.service.clone(),
             domain: settings.domain.clone(),
         };
         log::info!(
-            node = &*settings.node, incarnation = member.incarnation, former = former,
+            node = &*settings.node, incarnation = member.incarnation, former = former.incarnation,
             service = &*settings.service, domain = &*settings.domain;
             "process: starts"
         );
@@ -140,6 +143,7 @@
         let fleet = Arc::new(FleetState::new(member.clone()));
         let metrics = SidecarMetrics::new();
         let registry = LocalUpstreamRegistry::new(settings.announce_interval);
+        recall_stored(&registry, &settings.node, &former.page);
         let slots = SlotQueue::new();
         let gate = RangeGate::default();
         let (leaving, leaving_watch) = watch::channel(false);
@@ -166,7 +170,12 @@
             log,
         );
 
-        follow_store(&store, &fleet, &member, decoder);
+        follow_store(&store, &fleet, &registry, decoder);
+        tokio::spawn(store_departures(
+            store.clone(),
+            Arc::clone(&fleet),
+            registry.departures().clone(),
+        ));
         tokio::spawn(catch_up(Arc::clone(&fleet), TimerService));
         let reports = ReportSender {
             socket: socket.clone(),
@@ -182,6 +191,7 @@
         tokio::spawn(receive_datagrams(
             socket.clone(),
             Arc::clone(&fleet),
+            registry.clone(),
             sender.clone(),
         ));
         let heartbeats = HeartbeatPort::new(sender.clone(), settings.grant_delivery);
@@ -286,24 +296,34 @@
     Ok((listener, socket))
 }
 
-/// Returns the incarnation of the last process on this node, from the store.
-async fn former_incarnation<S: StateStore>(store: &S, node: &str) -> Option<Incarnation> {
+/// What the store has of the last process on this node.
+#[derive(Debug, Default)]
+struct FormerProcess {
+    incarnation: Option<Incarnation>,
+    /// The newest records of the fleet's topic; none if it cannot be read.
+    page: StorePage,
+}
+
+async fn read_former_process<S: StateStore>(store: &S, node: &str) -> FormerProcess {
     let page = timeout(STORE_START_TIMEOUT, store.newest(StoreTopic::Fleet)).await;
     let page = match page {
         Ok(Ok(page)) => page,
         Ok(Err(error)) => {
             log::warn!(error:% = error; "process: cannot read the store, starting without it");
-            return None;
+            return FormerProcess::default();
         }
         Err(_elapsed) => {
             log::warn!("process: the store did not respond in time, starting without it");
-            return None;
+            return FormerProcess::default();
         }
     };
     let key = format!("{MEMBER_PREFIX}{node}");
-    let record = page.records.iter().find(|record| *record.key == *key)?;
-    let member = postcard::from_bytes::<MemberRecord>(&record.value).ok()?;
-    Some(member.incarnation)
+    let record = page.records.iter().find(|record| *record.key == *key);
+    let member = record.and_then(|record| postcard::from_bytes::<MemberRecord>(&record.value).ok());
+    FormerProcess {
+        incarnation: member.map(|member| member.incarnation),
+        page,
+    }
 }
 
 /// Starts the readers of both topics. The fleet's topic is read only after this
@@ -312,9 +332,10 @@
 fn follow_store<S: StateStore, D: ConfigurationDecoder>(
     store: &S,
     fleet: &Arc<FleetState>,
-    member: &MemberRecord,
+    registry: &LocalUpstreamRegistry,
     decoder: D,
 ) {
+    let member = fleet.own();
     let applied = Arc::clone(fleet);
     tokio::spawn(follow_topic(
         store.clone(),
@@ -323,13 +344,17 @@
         move |page| apply_operator(&applied, &decoder, page),
     ));
     let applied = Arc::clone(fleet);
+    let registry = registry.clone();
     let announced = announce_member(store.clone(), member.clone());
     let again = announce_again(store.clone(), Arc::clone(fleet), member.clone());
     let followed = follow_topic(
         store.clone(),
         StoreTopic::Fleet,
         Arc::clone(fleet),
-        move |page| apply_fleet(&applied, page),
+        move |page| {
+            apply_fleet(&applied, page);
+            recall_stored(&registry, &applied.own().node, page);
+        },
     );
     tokio::spawn(async move {
         announced.await;
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -3,14 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use tokio::sync::watch;
 
+use super::departures::DepartureLog;
 use crate::base::boot_clock::since_boot;
 use crate::base::hash::hash_key;
 use crate::base::ids::InstanceId;
@@ -26,6 +24,7 @@
 use crate::upstream::condition::StatedCondition;
 use crate::upstream::condition::UpstreamCondition;
 use crate::upstream::condition::UpstreamTag;
+use crate::upstream::departure::DepartedUpstream;
 use crate::upstream::service::CallError;
 
 /// An upstream counts as absent after this many missed announcements.
@@ -136,48 +135,13 @@
 /// former limit.
 const LOGGED_LIMIT_CHANGE: f64 = 0.1;
 
-/// Maximum number of remembered deregistrations. A VM has one upstream at a
-/// time, so a few are enough.
-const MAX_DEREGISTERED: usize = 8;
-
-/// Announcements with a sequence number up to this come from an upstream
-/// process that has just started, since each process starts over with small
-/// numbers.
-const MAX_INITIAL_SEQUENCE: u64 = 2;
-
-/// An upstream process that deregistered.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DeregisteredUpstream {
-    /// Name of the upstream.
-    pub instance: InstanceId,
-    /// Time of the deregistration by this VM's clock, in milliseconds since the
-    /// Unix epoch.
-    pub deregistered_unix_ms: u64,
-}
-
-/// Returns whether an announcement was sent by a process that has deregistered
-/// since. A sidecar that has just started may receive the deregistration before
-/// a delayed announcement.
-pub fn is_deregistered(
-    deregistered: &[DeregisteredUpstream],
-    announcement: &AnnouncedUpstream,
-) -> bool {
-    deregistered.iter().any(|former| {
-        let started_later = announcement
-            .started_unix_ms
-            .is_some_and(|started| started > former.deregistered_unix_ms);
-        let restarted = started_later || announcement.sequence <= MAX_INITIAL_SEQUENCE;
-        former.instance == announcement.instance && !restarted
-    })
-}
-
 /// Tracks the state of the local upstream and publishes changes. Clones share
 /// state.
 #[derive(Debug, Clone)]
 pub struct LocalUpstreamRegistry {
     published: Arc<watch::Sender<Option<LocalUpstream>>>,
     silence: Duration,
-    deregistered: Arc<Mutex<Vec<DeregisteredUpstream>>>,
+    departures: DepartureLog,
     last_logged: Arc<Mutex<Option<(InstanceId, UpstreamPhase)>>>,
 }
 
@@ -188,7 +152,7 @@
         Self {
             published: Arc::new(watch::channel(None).0),
             silence: interval * MAX_MISSED_ANNOUNCEMENTS,
-            deregistered: Arc::default(),
+            departures: DepartureLog::new(),
             last_logged: Arc::default(),
         }
     }
@@ -208,9 +172,12 @@
     /// one is ignored.
     pub fn announce(&self, announcement: &AnnouncedUpstream) -> bool {
         let now = since_boot();
-        let deregistered = is_deregistered(&self.deregistered(), announcement);
+        if announcement.draining {
+            self.departures
+                .record(&announcement.instance, announcement.started_unix_ms);
+        }
         let announcement = &AnnouncedUpstream {
-            draining: announcement.draining || deregistered,
+            draining: self.departures.includes(announcement),
             ..announcement.clone()
         };
         let mut is_newest = false;
@@ -237,35 +204,48 @@
     /// takes no new ones. Delayed announcements of that process count as
     /// draining from now on.
     pub fn deregister(&self, instance: &str) {
-        self.remember_deregistration(instance);
-        self.published.send_if_modified(|known| match known {
-            Some(known) if &*known.announced.instance == instance => {
-                let changed = known.phase != UpstreamPhase::Draining;
-                known.phase = UpstreamPhase::Draining;
-                changed
-            }
-            _ => false,
+        let known = self.current();
+        let known = known.filter(|known| &*known.announced.instance == instance);
+        let started = known.and_then(|known| known.announced.started_unix_ms);
+        self.departures.record(&instance.into(), started);
+        self.set_draining("deregistered", |known| {
+            &*known.announced.instance == instance
         });
-        self.log_change("deregistered");
     }
 
-    fn remember_deregistration(&self, instance: &str) {
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-        let mut deregistered = self.deregistered();
-        deregistered.retain(|former| &*former.instance != instance);
-        if deregistered.len() == MAX_DEREGISTERED {
-            deregistered.remove(0);
+    /// Returns the departures of this VM's upstreams.
+    pub fn departures(&self) -> &DepartureLog {
+        &self.departures
+    }
+
+    /// Records departures that a former process on this VM had recorded; `source`
+    /// names where they come from in the log.
+    pub fn recall_departures(&self, departures: &[DepartedUpstream], source: &str) {
+        if self.departures.merge(departures) {
+            log::info!(departures = departures.len(), source = source; "upstream: recalled departures");
+            self.set_draining("recalled departure", |known| {
+                known.phase == UpstreamPhase::Ready && self.departures.includes(&known.announced)
+            });
         }
-        deregistered.push(DeregisteredUpstream {
-            instance: instance.into(),
-            deregistered_unix_ms: since_epoch.unwrap_or_default().as_millis() as u64,
-        });
     }
 
-    fn deregistered(&self) -> MutexGuard<'_, Vec<DeregisteredUpstream>> {
-        self.deregistered
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    /// Waits, for a limited time, until it is safe to acknowledge that the upstream
+    /// leaves. Returns at once if it does not.
+    pub async fn confirm_departure(&self) {
+        if self.current().is_some_and(|known| self.is_leaving(&known)) {
+            self.departures.wait_until_stored().await;
+        }
+    }
+
+    fn set_draining(&self, cause: &str, applies: impl Fn(&LocalUpstream) -> bool) {
+        self.published.send_if_modified(|known| match known {
+            Some(known) if known.phase != UpstreamPhase::Draining && applies(known) => {
+                known.phase = UpstreamPhase::Draining;
+                true
+            }
+            _ => false,
+        });
+        self.log_change(cause);
     }
 
     /// Records that the upstream refused a connection, which shows that it has
@@ -327,7 +307,9 @@
         let known = self.current().filter(|_known| changed)?;
         let condition = known.condition?;
         if condition.leaving {
-            self.remember_deregistration(&known.announced.instance);
+            let announced = &known.announced;
+            self.departures
+                .record(&announced.instance, announced.started_unix_ms);
             self.log_change("stated that it leaves");
         }
         Some(condition)
@@ -340,7 +322,7 @@
             || upstream
                 .condition
                 .is_some_and(|condition| condition.leaving)
-            || is_deregistered(&self.deregistered(), &upstream.announced)
+            || self.departures.includes(&upstream.announced)
     }
 
     /// Marks the upstream absent if its announcements have stopped.
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -7,9 +7,11 @@
 //! [`service`] is the only trait through which requests reach an upstream and
 //! [`http`] implements it. No other module depends on the wire format. Towards
 //! the upstream, one dispatch of a request is called an order. [`condition`] is what
-//! an upstream states about itself in its responses.
+//! an upstream states about itself in its responses, and [`departure`] recognises late
+//! announcements of an upstream that leaves.
 
 pub mod announce;
 pub mod condition;
+pub mod departure;
 pub mod http;
 pub mod service;
--- a/tests/testsuite/mesh_catch_up.rs
+++ b/tests/testsuite/mesh_catch_up.rs
@@ -123,6 +123,7 @@
         map,
         leaving: false,
         restricted: Vec::new(),
+        departures: Vec::new(),
     };
     fleet.directory().record_report(report, since_boot());
 }
--- a/tests/testsuite/mesh_reports.rs
+++ b/tests/testsuite/mesh_reports.rs
@@ -15,6 +15,7 @@
 use buckthornwinch::sidecar::fleet::FleetState;
 use buckthornwinch::sidecar::gossip::receive_datagrams;
 use buckthornwinch::sidecar::reconcile::MapReconciler;
+use buckthornwinch::sidecar::upstream::LocalUpstreamRegistry;
 use buckthornwinch::transport::datagram::DatagramSocket;
 use futures_util::FutureExt;
 use tokio::sync::mpsc;
@@ -47,7 +48,13 @@
     let peer_address = peer_socket.local_addr().expect("an address");
     let fleet = Arc::new(FleetState::new(member(1, own_address)));
     let (sender, _events) = mpsc::channel(8);
-    tokio::spawn(receive_datagrams(own_socket, Arc::clone(&fleet), sender));
+    let registry = LocalUpstreamRegistry::new(Duration::from_secs(1));
+    tokio::spawn(receive_datagrams(
+        own_socket,
+        Arc::clone(&fleet),
+        registry,
+        sender,
+    ));
 
     for incarnation in 2..MEMBERS {
         let report = PeerReport {
@@ -59,6 +66,7 @@
             map: 0,
             leaving: false,
             restricted: Vec::new(),
+            departures: Vec::new(),
         };
         // Repeated because a full socket buffer drops datagrams.
         while fleet.directory().find(incarnation).is_none() {
