sidecar: write departures again wherever a peer has seen the store restored

A departure that the store lost when it came back from a copy was written again only once the sidecar's own reads showed the new era, which takes up to about ten seconds at one that does not watch the operator's topic. If all sidecars are killed within that time, the departure is forgotten.

Reports now carry the newest era that their sender knows of, and the writer follows it.

--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -14,6 +14,7 @@
 use crate::base::ids::Version;
 use crate::quarantine::ledger::CrashRecord;
 use crate::ranges::edit::MapEdit;
+use crate::store::era::StoreEra;
 use crate::upstream::condition::RequestRate;
 use crate::upstream::departure::DepartedUpstream;
 
@@ -90,6 +91,8 @@
     pub configuration: Version,
     /// Offset of the newest range map that it knows; 0 for none.
     pub map: Offset,
+    /// The newest era of the store that it knows of.
+    pub era: StoreEra,
     /// Whether the process is leaving the fleet.
     pub leaving: bool,
     /// Requests that crash upstreams and may not run freely.
--- a/src/sidecar/departures.rs
+++ b/src/sidecar/departures.rs
@@ -157,7 +157,7 @@
     departures: DepartureLog,
 ) {
     let mut changes = departures.list.subscribe();
-    let mut eras = fleet.watch_era();
+    let mut eras = fleet.watch_newest_era();
     let mut backoff = RetryBackoff::new(WRITE_BACKOFF.0, WRITE_BACKOFF.1);
     let key = departures_key(&fleet.own().node);
     loop {
--- a/src/sidecar/fleet.rs
+++ b/src/sidecar/fleet.rs
@@ -52,7 +52,7 @@
 
 /// An era of the store.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct ObservedEra {
+struct ObservedEra {
     era: StoreEra,
     /// When a read first showed it, by the clock of [`since_boot`].
     since: Duration,
@@ -89,6 +89,8 @@
     failed: watch::Sender<Option<Duration>>,
     /// The newest era of the store that a read has shown, and when it first did.
     era: watch::Sender<ObservedEra>,
+    /// The newest era of the store that this sidecar or a peer has seen.
+    newest_era: watch::Sender<StoreEra>,
     /// Notified to write this sidecar's member record to the store again.
     pub announce_request: Notify,
     /// Notified to read the operator's topic at once.
@@ -123,6 +125,7 @@
             end: watch::channel(None).0,
             failed: watch::channel(None).0,
             era: watch::channel(ObservedEra::default()).0,
+            newest_era: watch::channel(StoreEra::default()).0,
             announce_request: Notify::new(),
             operator_read_request: Notify::new(),
             fleet_read_request: Notify::new(),
@@ -192,11 +195,26 @@
         if is_later {
             self.fleet_read_request.notify_one();
         }
+        self.record_newest_era(era);
     }
 
-    /// Subscribes to the store's coming back from a copy.
-    pub(super) fn watch_era(&self) -> watch::Receiver<ObservedEra> {
-        self.era.subscribe()
+    /// Records that this sidecar or a peer has seen the store in an era.
+    pub fn record_newest_era(&self, era: StoreEra) {
+        self.newest_era.send_if_modified(|known| {
+            let is_later = era > *known;
+            *known = era.max(*known);
+            is_later
+        });
+    }
+
+    /// Returns the newest era of the store that this sidecar or a peer has seen.
+    pub fn newest_era(&self) -> StoreEra {
+        *self.newest_era.borrow()
+    }
+
+    /// Subscribes to the newest era of the store that this sidecar or a peer has seen.
+    pub fn watch_newest_era(&self) -> watch::Receiver<StoreEra> {
+        self.newest_era.subscribe()
     }
 
     /// Returns the time since the store was first seen in its present era, if the
--- a/src/sidecar/gossip.rs
+++ b/src/sidecar/gossip.rs
@@ -101,6 +101,7 @@
             gauge: self.gauge(),
             configuration: self.fleet.configuration_version(),
             map: self.fleet.map().offset,
+            era: self.fleet.newest_era(),
             leaving: *self.leaving.borrow(),
             restricted: self.fleet.quarantine.restricted(),
             departures: self.registry.departures().entries(),
@@ -229,6 +230,7 @@
     report: PeerReport,
 ) {
     merge_crashes(fleet, &report.restricted, "report");
+    fleet.record_newest_era(report.era);
     let (outcome, missing) = {
         let mut directory = fleet.directory();
         let missing = directory.missing_departures(&report);
--- a/tests/testsuite/mesh_catch_up.rs
+++ b/tests/testsuite/mesh_catch_up.rs
@@ -122,6 +122,7 @@
         configuration: version,
         map,
         leaving: false,
+        era: 0,
         restricted: Vec::new(),
         departures: Vec::new(),
     };
