--- a/crates/winch-standin/src/sidecar_files.rs
+++ b/crates/winch-standin/src/sidecar_files.rs
@@ -161,6 +161,12 @@
     /// Maximum number of attempts for a request. Default: 1.
     #[builder(default = 1)]
     pub attempts: u32,
+    /// Latency target, with the unit. Default: 1 s.
+    #[builder(default = "1s", into)]
+    pub target: Box<str>,
+    /// Longest time until a response, with the unit. Default: 2 s.
+    #[builder(default = "2s", into)]
+    pub timeout: Box<str>,
 }
 
 /// Returns the text of a configuration, in JSON, for the host `shop.example`.
@@ -175,10 +181,10 @@
                 "non_idempotent"
             };
             json!({
-                "name": route.name, "routeType": kind, "targetLatency": "1s", "priority": 0,
+                "name": route.name, "routeType": kind, "targetLatency": route.target, "priority": 0,
                 "match": {"pathPrefix": format!("/{}/", route.name)},
                 "action": {
-                    "service": route.service, "timeout": "2s", "maxAttempts": route.attempts,
+                    "service": route.service, "timeout": route.timeout, "maxAttempts": route.attempts,
                 },
             })
         })
--- a/src/admission/deadline_queue.rs
+++ b/src/admission/deadline_queue.rs
@@ -17,6 +17,9 @@
 //!   over. One is refused as soon as those are too few to end it before its
 //!   deadline, so that a caller of a hot key gets its refusal at once instead
 //!   of after seconds.
+//! * A process that shuts down while requests that came through it wait: their
+//!   responses are lost once it has ended, so such a request starts only if it is
+//!   expected to end before, and is refused as soon as its turn would come too late.
 //! * More requests than the rate that the upstream accepts: starts are spaced
 //!   out ([`StartPacer`]). Each request then counts as if it used its slot at
 //!   least for the time after which the limit lets that slot start another one,
@@ -98,6 +101,9 @@
     rank: u8,
     /// Expected service time, fixed on arrival.
     service: Duration,
+    /// When a process ends without which its response is lost; `None` if none is
+    /// known to end.
+    ends_by: Option<Duration>,
     payload: T,
 }
 
@@ -126,6 +132,11 @@
         now + self.service / 2 > self.request.deadline
     }
 
+    /// Returns whether its response would be lost if it started at `start`.
+    fn is_cut(&self, start: Duration) -> bool {
+        self.ends_by.is_some_and(|end| start + self.service > end)
+    }
+
     /// Returns whether it would miss its target if it started at `start`.
     fn is_late(&self, start: Duration) -> bool {
         start + self.service > self.request.target
@@ -264,6 +275,7 @@
             request,
             rank: kind.rank,
             service,
+            ends_by: None,
             payload,
         };
         let wait = self.predicted_wait(&waiting, now);
@@ -276,6 +288,15 @@
         Ok(self.next_ticket - 1)
     }
 
+    /// Records that the response to a waiting request is lost from `end` on. No effect
+    /// if the request is not waiting.
+    pub fn end_by(&mut self, ticket: QueueTicket, end: Duration) {
+        let entry = self.waiting.iter_mut().find(|entry| entry.ticket == ticket);
+        if let Some(entry) = entry {
+            entry.ends_by = Some(entry.ends_by.map_or(end, |known| known.min(end)));
+        }
+    }
+
     /// Removes a waiting request whose caller is gone. No effect if the request
     /// is not waiting.
     pub fn cancel(&mut self, ticket: QueueTicket) {
@@ -288,7 +309,9 @@
         if self.running >= self.slots || !self.pacer.wait(now, 0).is_zero() {
             return None;
         }
-        let next = (0..self.waiting.len()).min_by_key(|index| self.waiting[*index].order(now))?;
+        let next = (0..self.waiting.len())
+            .filter(|index| !self.waiting[*index].is_cut(now))
+            .min_by_key(|index| self.waiting[*index].order(now))?;
         let started = self.waiting.swap_remove(next);
         let kind = started.request.kind;
         self.running += 1;
@@ -299,9 +322,9 @@
         Some((kind, started.payload))
     }
 
-    /// Removes the requests that can no longer end before their deadline:
-    /// because too little time is left, or because they are late and on-time
-    /// requests leave too few slots over.
+    /// Removes the requests that can no longer end before their deadline: because
+    /// too little time is left, or because they are late and on-time requests leave
+    /// too few slots over. Also removes those whose response would be lost.
     pub fn refuse_infeasible(&mut self, now: Duration) -> Vec<(T, QueueRefusal)> {
         self.waiting.sort_by_key(|entry| entry.order(now));
         let mut refused = Vec::new();
@@ -312,7 +335,8 @@
             let wait = ahead.div_f32(spare);
             let left = entry.request.deadline.saturating_sub(now);
             let is_starved = entry.is_late(now) && wait + entry.service > left;
-            if entry.is_infeasible(now) || is_starved {
+            let start = now + self.wait_behind(ahead, self.waiting.len() as u32);
+            if entry.is_infeasible(now) || is_starved || entry.is_cut(start) {
                 let refusal = QueueRefusal {
                     kind: ErrorKind::DeadlineBeforeStart,
                     ..refusal(drain_time, left)
@@ -370,9 +394,23 @@
         if self.slots == 0 || self.running + count < self.slots {
             return paced;
         }
-        // The added service time is for the running requests, one of which ends
-        // after a fraction of it.
-        (work + self.service).div_f32(slots).max(paced)
+        self.wait_of_work(work, slots).max(paced)
+    }
+
+    /// Returns the wait of a request behind `count` others that need `work`, if all
+    /// slots serve them.
+    fn wait_behind(&self, work: Duration, count: u32) -> Duration {
+        if self.slots == 0 || self.running + count < self.slots {
+            return Duration::ZERO;
+        }
+        self.wait_of_work(work, self.slots as f32)
+    }
+
+    /// Returns the time after which a slot is free if waiting requests that need
+    /// `work` go first and all slots are in use. The added service time is for the
+    /// running requests, one of which ends after a fraction of it.
+    fn wait_of_work(&self, work: Duration, slots: f32) -> Duration {
+        (work + self.service).div_f32(slots)
     }
 
     /// Returns the time for which a request uses a slot: its service time, or the
--- a/src/admission/slot_queue.rs
+++ b/src/admission/slot_queue.rs
@@ -152,6 +152,15 @@
     ///
     /// Returns the reason if the request is refused; it has not run.
     pub async fn acquire(&self, demand: SlotDemand<'_>) -> Result<SlotGuard, QueueRefusal> {
+        self.enqueue(demand)?.granted().await
+    }
+
+    /// Adds a request to the queue. Dropping the result removes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the request is refused at once; it has not run.
+    pub fn enqueue(&self, demand: SlotDemand<'_>) -> Result<QueuedSlot, QueueRefusal> {
         let (reply, response) = oneshot::channel();
         let offered = {
             let mut state = self.lock();
@@ -165,16 +174,12 @@
         };
         let ticket = offered.map_err(|(_reply, refusal)| refusal)?;
         self.start_waiting();
-        let mut guard = TicketGuard {
-            queue: self,
-            ticket: Some(ticket),
-        };
-        let result = response.await.unwrap_or(Err(QueueRefusal {
-            kind: ErrorKind::Draining,
-            retry_after: None,
-        }));
-        guard.ticket = None;
-        result
+        Ok(QueuedSlot {
+            queue: self.clone(),
+            ticket,
+            response,
+            is_waiting: true,
+        })
     }
 
     /// Updates the smoothed load, and refuses the waiting requests that can no
@@ -275,16 +280,42 @@
     }
 }
 
-/// Removes a request from the queue if its waiter is dropped.
-struct TicketGuard<'a> {
-    queue: &'a SlotQueue,
-    ticket: Option<QueueTicket>,
+/// A request's place in the queue. Dropping it removes the request from there.
+#[derive(Debug)]
+pub struct QueuedSlot {
+    queue: SlotQueue,
+    ticket: QueueTicket,
+    response: oneshot::Receiver<Result<SlotGuard, QueueRefusal>>,
+    is_waiting: bool,
+}
+
+impl QueuedSlot {
+    /// Waits for the slot. Cancel safe.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the request is refused; it has not run.
+    pub async fn granted(&mut self) -> Result<SlotGuard, QueueRefusal> {
+        let response = (&mut self.response).await;
+        self.is_waiting = false;
+        response.unwrap_or(Err(QueueRefusal {
+            kind: ErrorKind::Draining,
+            retry_after: None,
+        }))
+    }
+
+    /// Records that the response to the request is lost from `end` on. It is refused
+    /// if it cannot end before.
+    pub fn end_by(&self, end: Instant) {
+        let end = self.queue.since_start(end);
+        self.queue.lock().queue.end_by(self.ticket, end);
+    }
 }
 
-impl Drop for TicketGuard<'_> {
+impl Drop for QueuedSlot {
     fn drop(&mut self) {
-        if let Some(ticket) = self.ticket {
-            self.queue.lock().queue.cancel(ticket);
+        if self.is_waiting {
+            self.queue.lock().queue.cancel(self.ticket);
         }
     }
 }
--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -9,4 +9,5 @@
 pub mod hash;
 pub mod ids;
 pub mod milliseconds;
+pub mod process_end;
 pub mod timer;
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::base::error::RequestOutcome;
 use crate::base::ids::FailureDomainName;
 use crate::base::ids::Incarnation;
+use crate::base::process_end::ProcessEnd;
 use crate::delivery::message::RequestFailure;
 use crate::delivery::message::RequestResult;
 use crate::delivery::message::RoutedRequest;
@@ -22,6 +23,7 @@
 use crate::routing::target::choose_target;
 use crate::telemetry::metrics::RoutingMetrics;
 use crate::telemetry::metrics::StallGuard;
+use crate::transport::server::EntrySignals;
 use crate::transport::server::OwnerRequestHandler;
 
 /// How long after the deadline the owner's result is still awaited, since only
@@ -233,7 +235,11 @@
         );
         let cancelled = CancellationToken::new();
         let _guard = cancelled.clone().drop_guard();
-        self.local.handle(request, cancelled).await
+        let signals = EntrySignals {
+            cancelled,
+            end: ProcessEnd::default(),
+        };
+        self.local.handle(request, signals).await
     }
 }
 
--- a/src/node/handler.rs
+++ b/src/node/handler.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use tokio_util::sync::CancellationToken;
 
 use crate::admission::load::OwnerLoad;
 use crate::base::error::ErrorKind;
@@ -20,6 +19,7 @@
 use crate::ownership::gate::OwnershipGate;
 use crate::state::record::ChainSubject;
 use crate::state::snapshot::encode_state;
+use crate::transport::server::EntrySignals;
 use crate::transport::server::OwnerRequestHandler;
 
 /// Handles requests on the owner. A request of a chain of keys is counted as
@@ -78,9 +78,9 @@
 }
 
 impl<G: OwnershipGate> OwnerRequestHandler for NodeHandler<G> {
-    async fn handle(&self, request: RoutedRequest, cancelled: CancellationToken) -> RequestResult {
+    async fn handle(&self, request: RoutedRequest, signals: EntrySignals) -> RequestResult {
         if request.chain.subject == ChainSubject::Any {
-            return self.owner.handle(request, cancelled).await;
+            return self.owner.handle(request, signals.cancelled).await;
         }
         let Some(key) = self.owner_key(&request) else {
             return Err(RequestFailure::new(
@@ -116,7 +116,7 @@
                 "the key belongs to another chain",
             ));
         }
-        self.owner.handle(request, cancelled).await
+        self.owner.handle(request, signals.cancelled).await
     }
 
     fn load(&self) -> OwnerLoad {
--- a/src/node/inputs.rs
+++ b/src/node/inputs.rs
@@ -7,14 +7,15 @@
 
 use crate::base::collections::FastMap;
 use crate::base::ids::Incarnation;
+use crate::base::process_end::ProcessEnd;
 use crate::ownership::view::OwnershipView;
 use crate::routing::table::RouteInputs;
 use crate::routing::table::RoutePublisher;
 use crate::routing::table::RouteTable;
 use crate::state::folded::FoldedState;
 use crate::state::record::MemberInfo;
+use crate::transport::link::EntryProcess;
 use crate::transport::link::PeerLink;
-use crate::transport::link::RequestIdGenerator;
 
 /// Minimum time between two updates of the combined inputs.
 const COALESCE_INTERVAL: Duration = Duration::from_millis(10);
@@ -64,7 +65,7 @@
 #[derive(Debug)]
 pub struct RouteUpdater {
     own: Incarnation,
-    request_ids: RequestIdGenerator,
+    entry: EntryProcess,
     links: FastMap<Incarnation, PeerLink>,
     publisher: RoutePublisher,
 }
@@ -75,7 +76,7 @@
     pub fn new(own: Incarnation, publisher: RoutePublisher) -> Self {
         Self {
             own,
-            request_ids: RequestIdGenerator::default(),
+            entry: EntryProcess::new(own, ProcessEnd::default()),
             links: FastMap::default(),
             publisher,
         }
@@ -103,7 +104,7 @@
             resigned: &inputs.view.resigned,
         };
         let table = RouteTable::derive(route_inputs, |member| {
-            link_to(&mut self.links, self.own, &self.request_ids, member)
+            link_to(&mut self.links, self.own, &self.entry, member)
         });
         self.publisher.store(table);
     }
@@ -112,19 +113,14 @@
 fn link_to(
     links: &mut FastMap<Incarnation, PeerLink>,
     own: Incarnation,
-    request_ids: &RequestIdGenerator,
+    entry: &EntryProcess,
     member: &MemberInfo,
 ) -> Option<PeerLink> {
     if member.incarnation == own {
         return None;
     }
-    let link = links.entry(member.incarnation).or_insert_with(|| {
-        PeerLink::start(
-            own,
-            member.incarnation,
-            member.peer_address,
-            request_ids.clone(),
-        )
-    });
+    let link = links
+        .entry(member.incarnation)
+        .or_insert_with(|| PeerLink::start(entry, member.incarnation, member.peer_address));
     Some(link.clone())
 }
--- a/src/sidecar/dispatch.rs
+++ b/src/sidecar/dispatch.rs
@@ -19,7 +19,6 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
-use tokio_util::sync::CancellationToken;
 
 use super::fleet::FleetState;
 use super::links::InFlightGuard;
@@ -50,6 +49,7 @@
 use crate::state::record::ChainKey;
 use crate::state::record::ChainSubject;
 use crate::telemetry::request_log::RequestLog;
+use crate::transport::server::EntrySignals;
 use crate::transport::server::OwnerRequestHandler;
 
 /// The serving sidecar's deadline ends this much before the entry's, so that
@@ -168,12 +168,13 @@
         metrics: SidecarMetrics,
         log: RequestLog,
     ) -> Self {
+        let own = fleet.own().incarnation;
         let shared = DispatchState {
             settings,
             fleet,
             metrics,
             log,
-            links: PeerLinks::default(),
+            links: PeerLinks::new(own, owner.process_end().clone()),
             retry_budgets: Mutex::default(),
             deadlines: Mutex::default(),
             active: Arc::default(),
@@ -228,9 +229,10 @@
         Some(routes.configuration().limits.body_bytes)
     }
 
-    /// Sets when the process exits; see [`SidecarOwner::stop_at`].
-    pub fn stop_at(&self, stops_at: Instant) {
-        self.owner.stop_at(stops_at);
+    /// Sets when this process ends. From now on, requests whose deadline is later are
+    /// refused, and waiting ones unless they can run before.
+    pub fn end_at(&self, end: Instant) {
+        self.owner.process_end().set(end);
     }
 
     /// Returns the number of callers' requests in progress.
@@ -299,8 +301,6 @@
 
     async fn attempt_all(&self, matched: &MatchedRequest<'_>, attempts: &mut u32) -> RequestResult {
         let rule = &matched.route.rule;
-        let wait_until = matched.arrived + rule.target.mul_f64(MAX_WAIT_TARGET_FRACTION);
-        let wait_until = wait_until.min(matched.deadline);
         let is_keyed = matches!(matched.subject, ChainSubject::Slice(_));
         let mut failed_at = Vec::new();
         let mut may_have_run = None;
@@ -330,6 +330,7 @@
                 }
                 Err(failure) => failure,
             };
+            let wait_until = self.wait_limit(matched);
             let unknown = failure.kind.response().outcome == RequestOutcome::Unknown;
             if unknown && !rule.idempotent {
                 return Err(failure);
@@ -367,6 +368,15 @@
         }
     }
 
+    /// Returns until when a request may wait for its key's owner or go to another
+    /// queue.
+    fn wait_limit(&self, matched: &MatchedRequest<'_>) -> Instant {
+        let target = matched.route.rule.target;
+        let limit = matched.arrived + target.mul_f64(MAX_WAIT_TARGET_FRACTION);
+        let end = self.owner.process_end().get();
+        limit.min(end.map_or(matched.deadline, |end| end.min(matched.deadline)))
+    }
+
     /// Runs a request on the local upstream, or sends it to a peer.
     async fn attempt(&self, matched: &MatchedRequest<'_>, target: AttemptTarget) -> RequestResult {
         let now = Instant::now();
@@ -391,7 +401,7 @@
             crashes: self.known_crashes(matched.request),
         };
         match target {
-            AttemptTarget::Local => self.owner.handle(request, CancellationToken::new()).await,
+            AttemptTarget::Local => self.owner.handle(request, EntrySignals::default()).await,
             AttemptTarget::Peer(peer) => self.attempt_peer(matched, peer, request).await,
         }
     }
--- a/src/sidecar/links.rs
+++ b/src/sidecar/links.rs
@@ -15,9 +15,10 @@
 use crate::base::collections::FastMap;
 use crate::base::ids::Incarnation;
 use crate::base::ids::NodeName;
+use crate::base::process_end::ProcessEnd;
 use crate::load_balancing::UpstreamCandidate;
+use crate::transport::link::EntryProcess;
 use crate::transport::link::PeerLink;
-use crate::transport::link::RequestIdGenerator;
 
 /// A link to another sidecar, with the requests that this entry has in flight
 /// there.
@@ -31,14 +32,23 @@
 }
 
 /// The links of an entry, and what the upstreams at their ends stated.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct PeerLinks {
     links: Mutex<FastMap<Incarnation, TrackedLink>>,
     pub(super) conditions: PeerConditions,
-    request_ids: RequestIdGenerator,
+    entry: EntryProcess,
 }
 
 impl PeerLinks {
+    /// Creates the links of the process `own`, which ends at `end`.
+    pub(super) fn new(own: Incarnation, end: ProcessEnd) -> Self {
+        Self {
+            links: Mutex::default(),
+            conditions: PeerConditions::default(),
+            entry: EntryProcess::new(own, end),
+        }
+    }
+
     /// Returns the link to a peer, and opens it first if there is none; `None` if
     /// the peer is not known.
     pub(super) fn open(&self, fleet: &FleetState, peer: Incarnation) -> Option<TrackedLink> {
@@ -52,12 +62,7 @@
         self.conditions.retain(|node| directory.has_node(node));
         drop(directory);
         let link = TrackedLink {
-            link: PeerLink::start(
-                fleet.own().incarnation,
-                peer,
-                member.address,
-                self.request_ids.clone(),
-            ),
+            link: PeerLink::start(&self.entry, peer, member.address),
             in_flight: Arc::default(),
             observed: Arc::default(),
             node: member.node,
--- a/src/sidecar/owner.rs
+++ b/src/sidecar/owner.rs
@@ -5,29 +5,31 @@
 //! again after the wait for a slot, right before the request is sent.
 
 use std::sync::Arc;
-use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
-use tokio_util::sync::CancellationToken;
 
 use super::controller::RangeGate;
 use super::crash_watch::CrashWatch;
+use super::crash_watch::IsolationPermit;
 use super::fleet::FleetState;
 use super::metrics::SidecarMetrics;
 use super::upstream::LocalUpstream;
 use super::upstream::LocalUpstreamRegistry;
 use super::upstream::UpstreamCall;
 use super::upstream::UpstreamClient;
+use crate::admission::deadline_queue::QueueRefusal;
 use crate::admission::load::OwnerLoad;
 use crate::admission::slot_queue::SlotDemand;
 use crate::admission::slot_queue::SlotGauge;
+use crate::admission::slot_queue::SlotGuard;
 use crate::admission::slot_queue::SlotOutcome;
 use crate::admission::slot_queue::SlotQueue;
 use crate::base::error::ErrorKind;
 use crate::base::ids::Offset;
+use crate::base::process_end::ProcessEnd;
 use crate::delivery::failure::call_failure;
 use crate::delivery::message::RequestFailure;
 use crate::delivery::message::RequestResult;
@@ -37,6 +39,7 @@
 use crate::ranges::grants::KeyAdmission;
 use crate::state::record::ChainSubject;
 use crate::telemetry::request_log::RequestLog;
+use crate::transport::server::EntrySignals;
 use crate::transport::server::OwnerRequestHandler;
 use crate::upstream::condition::RequestRate;
 use crate::upstream::condition::StatedCondition;
@@ -50,12 +53,16 @@
 /// written takes some milliseconds to reach the new owner and its upstream.
 const MAX_GRANT_WAIT: Duration = Duration::from_millis(400);
 
-/// Time for a response to leave the process before it exits.
-const EXIT_MARGIN: Duration = Duration::from_millis(150);
-
 /// Rank of a request whose route is not in this sidecar's configuration.
 const UNKNOWN_ROUTE_RANK: u8 = 1;
 
+/// When a request arrived at its owner, and when its response is useless.
+#[derive(Debug, Clone, Copy)]
+struct RequestTiming {
+    arrived: Instant,
+    deadline: Instant,
+}
+
 /// Queues requests and runs them on the local upstream. Clones share state.
 #[derive(Debug, Clone)]
 #[derive(bon::Builder)]
@@ -68,24 +75,20 @@
     client: U,
     metrics: SidecarMetrics,
     log: RequestLog,
-    /// When the process exits; set once a shutdown begins.
-    #[builder(default)]
-    stops_at: Arc<OnceLock<Instant>>,
+    /// When this process ends. From then on, no response leaves it.
+    end: ProcessEnd,
 }
 
 impl<U: UpstreamClient> SidecarOwner<U> {
-    /// Sets the time at which the process exits. From now on, requests whose
-    /// deadline is later are refused, so that none is cut off.
-    pub fn stop_at(&self, stops_at: Instant) {
-        // Later calls are ignored: a process shuts down once.
-        let _is_first = self.stops_at.set(stops_at).is_ok();
+    /// Returns when this process ends.
+    pub fn process_end(&self) -> &ProcessEnd {
+        &self.end
     }
 
     /// Returns whether a request with this deadline might still run when the
-    /// process exits; false unless a shutdown has begun.
+    /// process ends; false unless a shutdown has begun.
     pub fn may_outlast_process(&self, deadline: Instant) -> bool {
-        let stops_at = self.stops_at.get();
-        stops_at.is_some_and(|stops_at| deadline + EXIT_MARGIN > *stops_at)
+        self.end.get().is_some_and(|end| deadline > end)
     }
 
     /// Returns the load of the local upstream; `None` unless it serves
@@ -97,7 +100,7 @@
         serves.then(|| (upstream.phase, self.slots.gauge()))
     }
 
-    async fn run(&self, request: RoutedRequest) -> RequestResult {
+    async fn run(&self, request: RoutedRequest, entry_end: &ProcessEnd) -> RequestResult {
         let arrived = Instant::now();
         let request = Arc::new(request);
         let deadline = arrived + request.remaining.unwrap_or(DEFAULT_DEADLINE);
@@ -111,21 +114,16 @@
             self.recall_condition(stated);
         }
         let key = owned_key(&request);
-        if let Some(key) = key {
-            self.gate.record_request(key);
-            self.wait_for_grant(key, deadline).await?;
-        }
-        self.check_upstream(&request)?;
-        let mut isolation = self.crashes.admit(&request, deadline).await?;
-        let slot = {
-            let demand = self.demand(&request, arrived, deadline);
-            self.slots.acquire(demand).await
+        let timing = RequestTiming { arrived, deadline };
+        let (mut isolation, slot) = tokio::select! {
+            biased;
+            admitted = self.admit(&request, timing, entry_end) => admitted?,
+            // A request that has not started is never left without an answer.
+            () = first_end(&self.end, entry_end) => return Err(RequestFailure::new(
+                ErrorKind::DeadlineBeforeStart,
+                "a process on its way ends before it can start",
+            )),
         };
-        let slot = slot.map_err(|refused| RequestFailure {
-            kind: refused.kind,
-            retry_after: refused.retry_after,
-            detail: "the upstream has no slot in time".into(),
-        })?;
         // There must be no await between these checks and the call: the
         // upstream could stop taking requests or lose the key meanwhile.
         let upstream = self.check_upstream(&request)?;
@@ -179,6 +177,58 @@
         result.map_err(call_failure)
     }
 
+    /// Waits until the upstream may run the request: for its key, for the end of
+    /// suspected crashes, and for a slot.
+    async fn admit(
+        &self,
+        request: &Arc<RoutedRequest>,
+        timing: RequestTiming,
+        entry_end: &ProcessEnd,
+    ) -> Result<(Option<IsolationPermit>, SlotGuard), RequestFailure> {
+        if let Some(key) = owned_key(request) {
+            self.gate.record_request(key);
+            self.wait_for_grant(key, timing.deadline).await?;
+        }
+        self.check_upstream(request)?;
+        let isolation = self.crashes.admit(request, timing.deadline).await?;
+        let slot = self.wait_for_slot(request, timing, entry_end).await;
+        let slot = slot.map_err(|refused| RequestFailure {
+            kind: refused.kind,
+            retry_after: refused.retry_after,
+            detail: "the upstream has no slot in time".into(),
+        })?;
+        Ok((isolation, slot))
+    }
+
+    /// Waits for a slot. Once this process or the entry is known to end, the queue
+    /// refuses the request unless it can run before.
+    async fn wait_for_slot(
+        &self,
+        request: &RoutedRequest,
+        timing: RequestTiming,
+        entry_end: &ProcessEnd,
+    ) -> Result<SlotGuard, QueueRefusal> {
+        let mut queued = {
+            let demand = self.demand(request, timing);
+            self.slots.enqueue(demand)?
+        };
+        let (mut knows_own, mut knows_entry) = (false, false);
+        loop {
+            tokio::select! {
+                biased;
+                slot = queued.granted() => return slot,
+                end = self.end.known(), if !knows_own => {
+                    queued.end_by(end);
+                    knows_own = true;
+                }
+                end = entry_end.known(), if !knows_entry => {
+                    queued.end_by(end);
+                    knows_entry = true;
+                }
+            }
+        }
+    }
+
     fn record_condition(&self, process_number: u64, condition: UpstreamCondition) {
         let limit = condition.rate_limit.map_or(-1.0, RequestRate::per_second);
         self.metrics.upstream_limit.set(limit);
@@ -201,12 +251,7 @@
         }
     }
 
-    fn demand<'a>(
-        &self,
-        request: &'a RoutedRequest,
-        arrived: Instant,
-        deadline: Instant,
-    ) -> SlotDemand<'a> {
+    fn demand<'a>(&self, request: &'a RoutedRequest, timing: RequestTiming) -> SlotDemand<'a> {
         let routes = self.fleet.routes();
         let route = routes
             .as_ref()
@@ -215,8 +260,8 @@
         SlotDemand {
             kind: &request.class,
             rank: route.map_or(UNKNOWN_ROUTE_RANK, |route| route.rule.rank),
-            target: arrived + target,
-            deadline,
+            target: timing.arrived + target,
+            deadline: timing.deadline,
         }
     }
 
@@ -252,12 +297,12 @@
 }
 
 impl<U: UpstreamClient> OwnerRequestHandler for SidecarOwner<U> {
-    async fn handle(&self, request: RoutedRequest, cancelled: CancellationToken) -> RequestResult {
+    async fn handle(&self, request: RoutedRequest, signals: EntrySignals) -> RequestResult {
         let id = self.log.request_id(&request.headers);
         let arrived = Instant::now();
         let result = tokio::select! {
-            result = self.run(request) => result,
-            () = cancelled.cancelled() => Err(RequestFailure::new(
+            result = self.run(request, &signals.end) => result,
+            () = signals.cancelled.cancelled() => Err(RequestFailure::new(
                 ErrorKind::ConnectionLost,
                 "the caller has gone",
             )),
@@ -294,6 +339,14 @@
     }
 }
 
+/// Waits until the first of two processes ends.
+async fn first_end(own: &ProcessEnd, entry: &ProcessEnd) {
+    tokio::select! {
+        () = own.reached() => {}
+        () = entry.reached() => {}
+    }
+}
+
 /// Returns the request's shard key; `None` if its service is not sharded.
 fn owned_key(request: &RoutedRequest) -> Option<RangeKey> {
     match request.chain.subject {
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -43,6 +43,7 @@
 use crate::admission::slot_queue::SlotQueue;
 use crate::base::error::ErrorKind;
 use crate::base::ids::Incarnation;
+use crate::base::process_end::ProcessEnd;
 use crate::base::timer::TimerService;
 use crate::log::backoff::RetryBackoff;
 use crate::node::identity::next_incarnation;
@@ -87,6 +88,9 @@
 /// requests still run.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time for the last responses to leave the process before it exits.
+const EXIT_MARGIN: Duration = Duration::from_millis(150);
+
 /// One running sidecar. Clones share state.
 #[derive(Debug, Clone)]
 pub struct SidecarProcess<U> {
@@ -161,6 +165,7 @@
             .client(client.clone())
             .metrics(metrics.clone())
             .log(log.clone())
+            .end(ProcessEnd::default())
             .build();
         let dispatcher = SidecarDispatcher::new(
             Arc::clone(&settings),
@@ -249,7 +254,8 @@
         let limit = started + self.settings.shutdown_grace.saturating_sub(GRACE_MARGIN);
         log::info!(grace_ms = self.settings.shutdown_grace.as_millis() as u64; "process: leaves");
         self.shutting_down.store(true, Ordering::Relaxed);
-        self.dispatcher.stop_at(limit);
+        self.dispatcher
+            .end_at(limit.checked_sub(EXIT_MARGIN).unwrap_or(started));
         sleep(READINESS_DELAY.min(self.settings.shutdown_grace / 2)).await;
         self.close_connections.cancel();
         while Instant::now() + HANDOVER_TIME < limit && self.has_callers() {
--- a/src/transport/frame.rs
+++ b/src/transport/frame.rs
@@ -1,6 +1,7 @@
 //! Messages of a connection and the chunks into which they are split.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -17,7 +18,7 @@
 
 /// Version of the messages, which the connecting side sends in
 /// [`PeerMessage::Hello`].
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 
 /// Maximum size of a chunk's data, without the chunk's header.
 pub const CHUNK_BYTES: usize = 16 * 1024;
@@ -82,6 +83,11 @@
         /// The encoded state; `None` if it is not newer than requested.
         encoded: Option<Bytes>,
     },
+    /// Tells the owner that the entry node shuts down.
+    Ending {
+        /// Time left when the message was sent. A result that comes later is lost.
+        remaining: Duration,
+    },
 }
 
 /// Reason why a received chunk is refused.
--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -30,6 +30,7 @@
 use crate::base::error::ErrorKind;
 use crate::base::ids::Incarnation;
 use crate::base::ids::RequestId;
+use crate::base::process_end::ProcessEnd;
 use crate::base::timer::TickSubscription;
 use crate::base::timer::TimerService;
 use crate::base::timer::TimerTick;
@@ -62,7 +63,7 @@
 /// Generates the request ids of this incarnation. Clones share the counter, so
 /// that no id is used twice, on whichever link.
 #[derive(Debug, Clone, Default)]
-pub struct RequestIdGenerator(Arc<AtomicU64>);
+struct RequestIdGenerator(Arc<AtomicU64>);
 
 impl RequestIdGenerator {
     fn next(&self) -> RequestId {
@@ -70,6 +71,25 @@
     }
 }
 
+/// The entry process of links. Clones share its request ids and its end.
+#[derive(Debug, Clone)]
+pub struct EntryProcess {
+    incarnation: Incarnation,
+    ids: RequestIdGenerator,
+    end: ProcessEnd,
+}
+
+impl EntryProcess {
+    /// Creates a process whose links tell their owners when it ends.
+    pub fn new(incarnation: Incarnation, end: ProcessEnd) -> Self {
+        Self {
+            incarnation,
+            ids: RequestIdGenerator::default(),
+            end,
+        }
+    }
+}
+
 /// The owner's load, as reported with its latest result.
 pub type ReportedLoad = ArcSwap<OwnerLoad>;
 
@@ -156,19 +176,15 @@
 }
 
 impl PeerLink {
-    /// Creates a link from one incarnation to another and spawns its task. The
+    /// Creates a link from a process to another incarnation and spawns its task. The
     /// link connects when the first request is sent.
-    pub fn start(
-        from: Incarnation,
-        to: Incarnation,
-        address: SocketAddr,
-        ids: RequestIdGenerator,
-    ) -> Self {
+    pub fn start(from: &EntryProcess, to: Incarnation, address: SocketAddr) -> Self {
         let (sender, commands) = mpsc::channel(MAX_QUEUED_COMMANDS);
         let load = Arc::<ReportedLoad>::default();
         let limiter = Arc::new(LinkLimiter::new(to));
         let task = LinkTask {
-            from,
+            from: from.incarnation,
+            end: from.end.clone(),
             to,
             address,
             commands,
@@ -180,7 +196,7 @@
         tokio::spawn(task.run());
         Self {
             commands: sender,
-            ids,
+            ids: from.ids.clone(),
             load,
             limiter,
         }
@@ -272,10 +288,23 @@
     reader: ConnectionReader,
     sender: ConnectionSender,
     last_received: Instant,
+    /// Whether the owner was told on this connection when this process ends.
+    is_end_told: bool,
+}
+
+impl ActiveConnection {
+    /// Tells the owner when this process ends.
+    async fn tell_end(&mut self, at: Instant) {
+        let remaining = at.saturating_duration_since(Instant::now());
+        let ending = encode_message(&PeerMessage::Ending { remaining });
+        drop(self.sender.send(ending).await);
+        self.is_end_told = true;
+    }
 }
 
 struct LinkTask {
     from: Incarnation,
+    end: ProcessEnd,
     to: Incarnation,
     address: SocketAddr,
     commands: mpsc::Receiver<LinkCommand>,
@@ -423,6 +452,7 @@
             reader,
             sender,
             last_received: Instant::now(),
+            is_end_told: false,
         }))
     }
 
@@ -458,6 +488,10 @@
                 }
                 None => Some(ConnectionEnd::Unused),
             },
+            at = self.end.known(), if writable && !connection.is_end_told => {
+                connection.tell_end(at).await;
+                None
+            }
             tick = ticks.next() => self.check(connection, tick),
         }
     }
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -28,6 +28,7 @@
 use crate::base::ids::Incarnation;
 use crate::base::ids::Offset;
 use crate::base::ids::RequestId;
+use crate::base::process_end::ProcessEnd;
 use crate::delivery::message::RequestResult;
 use crate::delivery::message::RoutedRequest;
 
@@ -37,14 +38,23 @@
 /// How long a connection may be silent before it is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// What an entry node tells about a request while it is processed.
+#[derive(Debug, Clone, Default)]
+pub struct EntrySignals {
+    /// Fires when nobody waits for the result any more.
+    pub cancelled: CancellationToken,
+    /// When the entry node ends. A result that comes later is lost.
+    pub end: ProcessEnd,
+}
+
 /// Processes the requests of entry nodes at the owner.
 pub trait OwnerRequestHandler: Clone + Send + Sync + 'static {
     /// Processes a request to its result. A request that was started is never
-    /// reported as not run, also when `cancelled` fires.
+    /// reported as not run, also when `signals.cancelled` fires.
     fn handle(
         &self,
         request: RoutedRequest,
-        cancelled: CancellationToken,
+        signals: EntrySignals,
     ) -> impl Future<Output = RequestResult> + Send;
 
     /// Returns the current load, which is sent with each result.
@@ -67,6 +77,8 @@
     /// may even arrive after its successor, so the order of arrival does not
     /// show which one is in use.
     connections: Mutex<Vec<ConnectionSender>>,
+    /// When the entry node ends.
+    end: ProcessEnd,
 }
 
 impl EntrySession {
@@ -242,6 +254,7 @@
                 self.receive_request(id, *request, session, sender).await;
             }
             PeerMessage::Cancel { id } => session.with_inbound(|inbound| inbound.cancel(id)),
+            PeerMessage::Ending { remaining } => session.end.set(Instant::now() + remaining),
             PeerMessage::Ping => drop(sender.send(encode_message(&PeerMessage::Pong)).await),
             PeerMessage::Hello { .. }
             | PeerMessage::Welcome { .. }
@@ -263,10 +276,14 @@
             InboundDecision::Running => {}
             InboundDecision::Completed(response) => drop(sender.send(response).await),
             InboundDecision::Run(cancelled) => {
+                let signals = EntrySignals {
+                    cancelled,
+                    end: session.end.clone(),
+                };
                 let handler = self.handler.clone();
                 let session = Arc::clone(session);
                 tokio::spawn(async move {
-                    let result = handler.handle(request, cancelled).await;
+                    let result = handler.handle(request, signals).await;
                     let response = encode_message(&PeerMessage::Response {
                         id,
                         result: Box::new(result),
--- a/tests/testsuite/deadline_queue.rs
+++ b/tests/testsuite/deadline_queue.rs
@@ -224,3 +224,50 @@
 
     assert_eq!(next(&mut queue, ms(100)), None);
 }
+
+/// Guards against requests that wait for a slot until a process on the way of their
+/// response has ended.
+#[test]
+fn a_request_whose_turn_comes_after_the_end_of_a_process_is_refused_at_once() {
+    let mut queue = busy_queue();
+    let tickets: Vec<_> = (0..5)
+        .map(|_turn| {
+            queue
+                .offer(ms(0), request(0, 2_000, 2_000), "waiting")
+                .expect("room")
+        })
+        .collect();
+    for ticket in tickets {
+        queue.end_by(ticket, ms(350));
+    }
+
+    let refused = queue.refuse_infeasible(ms(10));
+
+    let kinds: Vec<_> = refused
+        .iter()
+        .map(|(_name, refusal)| refusal.kind)
+        .collect();
+    assert_eq!(kinds, [ErrorKind::DeadlineBeforeStart; 3]);
+    assert!(
+        refused
+            .iter()
+            .all(|(_name, refusal)| refusal.retry_after.is_some())
+    );
+    assert_eq!(next(&mut queue, ms(100)), Some("waiting"));
+    assert_eq!(next(&mut queue, ms(200)), Some("waiting"));
+}
+
+#[test]
+fn a_request_that_cannot_end_before_a_process_does_not_start() {
+    let mut queue = busy_queue();
+    let ticket = queue
+        .offer(ms(0), request(0, 2_000, 2_000), "cut")
+        .expect("room");
+    queue
+        .offer(ms(0), request(2, 2_000, 2_000), "other")
+        .expect("room");
+    queue.end_by(ticket, ms(190));
+
+    assert_eq!(next(&mut queue, ms(100)), Some("other"));
+    assert_eq!(queue.refuse_infeasible(ms(110)).len(), 1);
+}
--- a/tests/testsuite/dispatch.rs
+++ b/tests/testsuite/dispatch.rs
@@ -19,10 +19,10 @@
 use buckthornwinch::routing::table::RoutePublisher;
 use buckthornwinch::routing::table::RouteTable;
 use buckthornwinch::telemetry::metrics::MetricRegistry;
+use buckthornwinch::transport::server::EntrySignals;
 use buckthornwinch::transport::server::OwnerRequestHandler;
 use buckthornwinch::upstream::condition::StatedCondition;
 use bytes::Bytes;
-use tokio_util::sync::CancellationToken;
 use winch_test_support::fleet::FleetLog;
 use winch_test_support::fleet::incarnation;
 use winch_test_support::owner::order;
@@ -43,7 +43,7 @@
 }
 
 impl OwnerRequestHandler for ScriptedOwner {
-    async fn handle(&self, _order: RoutedRequest, _cancelled: CancellationToken) -> RequestResult {
+    async fn handle(&self, _order: RoutedRequest, _signals: EntrySignals) -> RequestResult {
         let next = self
             .script
             .lock()
--- a/tests/testsuite/mesh.rs
+++ b/tests/testsuite/mesh.rs
@@ -54,16 +54,23 @@
     }
 }
 
+/// How a test ends a sidecar.
+enum SidecarStop {
+    /// It shuts down.
+    Terminate,
+    Kill,
+}
+
 /// A sidecar in a thread and a runtime of its own, so that a test can kill it
 /// without a shutdown.
 pub(crate) struct TestSidecar {
-    stop: Option<oneshot::Sender<()>>,
+    stop: Option<oneshot::Sender<SidecarStop>>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
 
 impl TestSidecar {
     pub(crate) fn start(machine: TestMachine, store: SocketAddr) -> Self {
-        let (stop, stopped) = oneshot::channel::<()>();
+        let (stop, stopped) = oneshot::channel();
         let text = machine.settings(store);
         let thread = std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread()
@@ -72,8 +79,10 @@
                 .expect("a runtime");
             runtime.block_on(async {
                 let settings = parse_settings(&text).expect("valid settings");
-                let _process = start_sidecar(settings).await.expect("the ports are free");
-                drop(stopped.await);
+                let process = start_sidecar(settings).await.expect("the ports are free");
+                if let Ok(SidecarStop::Terminate) = stopped.await {
+                    process.shut_down().await;
+                }
             });
             // Dropping the runtime ends every task and closes every socket.
         });
@@ -83,8 +92,20 @@
         }
     }
 
-    pub(crate) fn kill(mut self) {
-        drop(self.stop.take());
+    pub(crate) fn kill(self) {
+        self.end(SidecarStop::Kill);
+    }
+
+    /// Shuts the sidecar down and returns when its process would have ended.
+    pub(crate) fn terminate(self) {
+        self.end(SidecarStop::Terminate);
+    }
+
+    fn end(mut self, how: SidecarStop) {
+        if let Some(stop) = self.stop.take() {
+            // It has ended only if it panicked, which the join shows.
+            let _is_running = stop.send(how).is_ok();
+        }
         if let Some(thread) = self.thread.take() {
             thread.join().expect("no panic");
         }
@@ -136,17 +157,50 @@
         path: &str,
         key: u16,
     ) -> reqwest::Result<reqwest::Response> {
-        let number = self.sent.fetch_add(1, Ordering::Relaxed);
         let url = format!("http://{}{path}", machine.ports.callers());
         self.client
             .get(url)
             .header("host", "shop.example")
-            .header("request-id", format!("request-{number}"))
+            .header("request-id", &*self.next_id())
             .header("deadline-ms", "2500")
             .header("shard-key", key.to_string())
             .send()
             .await
     }
+
+    /// Sends a request without a key to a machine's sidecar and waits for the complete
+    /// response until the deadline. Returns the id, and the status and the
+    /// `Retry-After` of the response.
+    pub(crate) async fn send_until(
+        &self,
+        machine: TestMachine,
+        path: &str,
+        deadline: Duration,
+    ) -> (Box<str>, reqwest::Result<(u16, Option<String>)>) {
+        let id = self.next_id();
+        let url = format!("http://{}{path}", machine.ports.callers());
+        let call = self
+            .client
+            .get(url)
+            .timeout(deadline)
+            .header("host", "shop.example")
+            .header("request-id", &*id)
+            .header("deadline-ms", deadline.as_millis().to_string());
+        let received = async {
+            let response = call.send().await?;
+            let status = response.status().as_u16();
+            let retry_after = response.headers().get("retry-after");
+            let retry_after = retry_after.and_then(|value| value.to_str().ok().map(str::to_owned));
+            response.bytes().await?;
+            Ok((status, retry_after))
+        };
+        (id, received.await)
+    }
+
+    fn next_id(&self) -> Box<str> {
+        let number = self.sent.fetch_add(1, Ordering::Relaxed);
+        format!("request-{number}").into()
+    }
 }
 
 pub(crate) fn configuration(version: u64) -> String {
@@ -295,6 +349,12 @@
         }
     }
 
+    /// Starts the shutdown of a machine's sidecar. The returned thread ends with it.
+    pub(crate) fn terminate(&mut self, machine: usize) -> std::thread::JoinHandle<()> {
+        let sidecar = self.sidecars[machine].take();
+        std::thread::spawn(move || sidecar.into_iter().for_each(TestSidecar::terminate))
+    }
+
     pub(crate) fn restart(&mut self, machine: usize) {
         let started = TestSidecar::start(self.machines[machine], self.store.address());
         self.sidecars[machine] = Some(started);
--- a/tests/testsuite/mesh_catch_up.rs
+++ b/tests/testsuite/mesh_catch_up.rs
@@ -24,6 +24,7 @@
 use buckthornwinch::routes::configuration::RouteConfiguration;
 use buckthornwinch::sidecar::fleet::FleetState;
 use buckthornwinch::sidecar::follow::catch_up;
+use buckthornwinch::transport::server::EntrySignals;
 use buckthornwinch::transport::server::OwnerRequestHandler;
 use buckthornwinch::transport::server::PeerServer;
 use bytes::Bytes;
@@ -43,7 +44,7 @@
 struct StateServer(Arc<FleetState>);
 
 impl OwnerRequestHandler for StateServer {
-    async fn handle(&self, _request: RoutedRequest, _gone: CancellationToken) -> RequestResult {
+    async fn handle(&self, _request: RoutedRequest, _signals: EntrySignals) -> RequestResult {
         Err(RequestFailure::new(
             ErrorKind::NotOwner,
             "serves state only",
@@ -121,8 +122,8 @@
         gauge: UpstreamGauge::default(),
         configuration: version,
         map,
-        leaving: false,
         era: 0,
+        leaving: false,
         restricted: Vec::new(),
         departures: Vec::new(),
     };
--- a/tests/testsuite/node_handler.rs
+++ b/tests/testsuite/node_handler.rs
@@ -19,10 +19,10 @@
 use buckthornwinch::node::handler::NodeHandler;
 use buckthornwinch::state::folded::FoldedState;
 use buckthornwinch::state::record::ChainKey;
+use buckthornwinch::transport::server::EntrySignals;
 use buckthornwinch::transport::server::OwnerRequestHandler;
 use buckthornwinch::upstream::announce::UpstreamRegistry;
 use buckthornwinch::upstream::http::HttpUpstream;
-use tokio_util::sync::CancellationToken;
 use winch_test_support::fake_log::FakeLog;
 use winch_test_support::fleet::FleetLog;
 use winch_test_support::fleet::incarnation;
@@ -69,7 +69,7 @@
         KeySampler::default(),
         follower,
     );
-    handler.handle(request, CancellationToken::new()).await
+    handler.handle(request, EntrySignals::default()).await
 }
 
 fn kind_of(result: &RequestResult) -> Option<ErrorKind> {
--- a/tests/testsuite/peer_state.rs
+++ b/tests/testsuite/peer_state.rs
@@ -18,6 +18,7 @@
 use buckthornwinch::state::codec::encode_batch;
 use buckthornwinch::state::folded::FoldedState;
 use buckthornwinch::state::snapshot::encode_state;
+use buckthornwinch::transport::server::EntrySignals;
 use buckthornwinch::transport::server::OwnerRequestHandler;
 use buckthornwinch::transport::server::PeerServer;
 use buckthornwinch::transport::state::fetch_state;
@@ -37,11 +38,7 @@
 struct StateHandler(Arc<FoldedState>);
 
 impl OwnerRequestHandler for StateHandler {
-    async fn handle(
-        &self,
-        _request: RoutedRequest,
-        _cancelled: CancellationToken,
-    ) -> RequestResult {
+    async fn handle(&self, _request: RoutedRequest, _signals: EntrySignals) -> RequestResult {
         Err(RequestFailure::new(ErrorKind::NotOwner, "no orders here"))
     }
 
--- /dev/null
+++ b/tests/testsuite/shutdown_replay.rs
@@ -0,0 +1,114 @@
+//! Simulates, in virtual time, a process that shuts down while requests that came
+//! through it wait in a queue. All times are in milliseconds.
+
+use std::time::Duration;
+
+use buckthornwinch::admission::deadline_queue::DeadlineQueue;
+use buckthornwinch::admission::deadline_queue::QueueTicket;
+use buckthornwinch::admission::deadline_queue::QueuedRequest;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const SLOTS: u32 = 6;
+
+/// Requests that wait when the shutdown begins, about 7 s of work.
+const REQUESTS: usize = 105;
+
+/// Mean service time; single ones differ by up to a quarter.
+const SERVICE: u64 = 400;
+
+/// Target and deadline of all requests.
+const DEADLINE: u64 = 8_000;
+
+/// When the shutdown begins, and when the process ends.
+const SHUTDOWN: u64 = 100;
+const END: u64 = 5_550;
+
+/// Time after the end within which a response still leaves the process.
+const EXIT_MARGIN: u64 = 150;
+
+/// How often the sidecar refuses requests from its queue.
+const MAINTENANCE_INTERVAL: u64 = 50;
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+#[derive(Debug, Default)]
+struct ReplayResults {
+    served: usize,
+    /// When each refused request was refused.
+    refused_at: Vec<u64>,
+    /// Requests that had not ended when the process had.
+    cut: usize,
+}
+
+/// A queue that knows the service time, with all requests waiting.
+fn full_queue() -> (DeadlineQueue<()>, Vec<QueueTicket>) {
+    let mut queue = DeadlineQueue::new();
+    queue.set_slots(SLOTS);
+    let kind = queue.register_kind("report", 2);
+    let request = QueuedRequest {
+        kind,
+        target: ms(DEADLINE),
+        deadline: ms(DEADLINE),
+    };
+    for _sample in 0..100 {
+        queue.offer(ms(0), request, ()).expect("room");
+        queue.start_next(ms(0)).expect("a free slot");
+        queue.finish(kind, Some(ms(SERVICE)));
+    }
+    let tickets = (0..REQUESTS).map(|_request| queue.offer(ms(0), request, ()).expect("room"));
+    let tickets = tickets.collect();
+    (queue, tickets)
+}
+
+/// Plays the shutdown. `is_told` is whether the queue is told when the process ends.
+fn replay(seed: u64, is_told: bool) -> ReplayResults {
+    let (mut queue, tickets) = full_queue();
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut running: Vec<u64> = Vec::new();
+    let mut results = ReplayResults::default();
+    for now in 0..END + EXIT_MARGIN {
+        let before = running.len();
+        running.retain(|end| *end > now);
+        for _ended in running.len()..before {
+            results.served += 1;
+            queue.finish(0, Some(ms(SERVICE)));
+        }
+        if is_told && now == SHUTDOWN {
+            for ticket in &tickets {
+                queue.end_by(*ticket, ms(END));
+            }
+        }
+        if now % MAINTENANCE_INTERVAL == 0 {
+            let refused = queue.refuse_infeasible(ms(now)).len();
+            results.refused_at.extend(std::iter::repeat_n(now, refused));
+        }
+        while queue.start_next(ms(now)).is_some() {
+            running.push(now + rng.random_range(SERVICE * 3 / 4..SERVICE * 5 / 4));
+        }
+    }
+    results.cut = running.len() + queue.waiting();
+    results
+}
+
+/// Requests that waited at the end of the process were cut without an answer. They are
+/// refused as soon as the end is known, while their callers can still go elsewhere,
+/// and the slots stay in use until the end.
+#[test]
+fn requests_whose_turn_comes_too_late_are_refused_early_and_none_is_cut() {
+    for seed in 0..20 {
+        let untold = replay(seed, false);
+        let told = replay(seed, true);
+
+        assert!(untold.cut > 15, "{untold:?}");
+        assert_eq!(told.cut, 0, "{told:?}");
+        assert_eq!(told.served + told.refused_at.len(), REQUESTS);
+        let early = told.refused_at.iter().filter(|at| **at <= SHUTDOWN + 500);
+        assert!(early.count() * 10 >= told.refused_at.len() * 7, "{told:?}");
+        let capacity = (END / SERVICE) as usize * SLOTS as usize;
+        assert!(told.served + SLOTS as usize >= capacity, "{told:?}");
+    }
+}
--- a/tests/testsuite/transport_link.rs
+++ b/tests/testsuite/transport_link.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use buckthornwinch::admission::load::OwnerLoad;
 use buckthornwinch::admission::load::class_tag;
 use buckthornwinch::base::error::ErrorKind;
+use buckthornwinch::base::process_end::ProcessEnd;
 use buckthornwinch::delivery::message::RequestResult;
 use buckthornwinch::delivery::message::RoutedRequest;
 use buckthornwinch::delivery::message::UpstreamResponse;
@@ -21,8 +23,9 @@
 use buckthornwinch::transport::frame::PROTOCOL_VERSION;
 use buckthornwinch::transport::frame::PeerMessage;
 use buckthornwinch::transport::frame::encode_message;
+use buckthornwinch::transport::link::EntryProcess;
 use buckthornwinch::transport::link::PeerLink;
-use buckthornwinch::transport::link::RequestIdGenerator;
+use buckthornwinch::transport::server::EntrySignals;
 use buckthornwinch::transport::server::OwnerRequestHandler;
 use buckthornwinch::transport::server::PeerServer;
 use buckthornwinch::upstream::condition::StatedCondition;
@@ -30,6 +33,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use winch_standin::relay::RelayDirection;
@@ -46,10 +50,13 @@
     started: Arc<Notify>,
     release: CancellationToken,
     load: OwnerLoad,
+    /// Those of the newest request.
+    signals: Arc<Mutex<EntrySignals>>,
 }
 
 impl OwnerRequestHandler for CountingOwner {
-    async fn handle(&self, request: RoutedRequest, _cancelled: CancellationToken) -> RequestResult {
+    async fn handle(&self, request: RoutedRequest, signals: EntrySignals) -> RequestResult {
+        *self.signals.lock().expect("no panic") = signals;
         self.runs.fetch_add(1, Ordering::SeqCst);
         self.started.notify_one();
         self.release.cancelled().await;
@@ -78,7 +85,11 @@
 }
 
 fn link(address: SocketAddr) -> PeerLink {
-    PeerLink::start(ENTRY, OWNER, address, RequestIdGenerator::default())
+    link_of(&ProcessEnd::default(), address)
+}
+
+fn link_of(end: &ProcessEnd, address: SocketAddr) -> PeerLink {
+    PeerLink::start(&EntryProcess::new(ENTRY, end.clone()), OWNER, address)
 }
 
 async fn runs_after_silence(direction: RelayDirection) -> (RequestResult, u64, u64) {
@@ -250,3 +261,46 @@
     assert_eq!(owner.runs.load(Ordering::SeqCst), 50 - refused + 1);
     assert_eq!(checks.map(|answer| answer.status), Ok(200));
 }
+
+/// Waits until the owner knows when the entry node ends.
+async fn wait_until_told(owner: &CountingOwner) {
+    let end = owner.signals.lock().expect("no panic").end.clone();
+    timeout(Duration::from_secs(10), end.known())
+        .await
+        .expect("the owner is told");
+}
+
+#[tokio::test]
+async fn an_owner_is_told_when_the_entry_node_of_a_running_request_ends() {
+    let owner = CountingOwner::default();
+    let (address, _stop) = serve(OWNER, owner.clone()).await;
+    let end = ProcessEnd::default();
+    let link = link_of(&end, address);
+    let call = tokio::spawn(async move { link.call(order("orders", "/reorder")).await });
+    owner.started.notified().await;
+
+    end.set(Instant::now() + Duration::from_secs(5));
+
+    wait_until_told(&owner).await;
+    owner.release.cancel();
+    call.await.expect("no panic").expect("an answer");
+}
+
+/// The connection may be replaced while the message is on its way.
+#[tokio::test]
+async fn an_owner_is_told_of_the_end_again_on_a_new_connection() {
+    let owner = CountingOwner::default();
+    let (address, _stop) = serve(OWNER, owner.clone()).await;
+    let relay = TcpRelay::start(address).await;
+    let end = ProcessEnd::default();
+    let link = link_of(&end, relay.address());
+    let call = tokio::spawn(async move { link.call(order("orders", "/reorder")).await });
+    owner.started.notified().await;
+
+    relay.blackhole(RelayDirection::Both);
+    end.set(Instant::now() + Duration::from_secs(60));
+
+    wait_until_told(&owner).await;
+    owner.release.cancel();
+    call.await.expect("no panic").expect("an answer");
+}
