--- a/src/sidecar/departures.rs
+++ b/src/sidecar/departures.rs
@@ -179,7 +179,7 @@
             continue;
         }
         tokio::select! {
-            changed = changes.changed() => if changed.is_err() {
+            result = changes.changed() => if result.is_err() {
                 return;
             },
             Ok(()) = eras.changed() => {
--- a/src/sidecar/owner.rs
+++ b/src/sidecar/owner.rs
@@ -76,6 +76,7 @@
     metrics: SidecarMetrics,
     log: RequestLog,
     /// When this process ends. From then on, no response leaves it.
+    #[builder(default)]
     end: ProcessEnd,
 }
 
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -43,7 +43,6 @@
 use crate::admission::slot_queue::SlotQueue;
 use crate::base::error::ErrorKind;
 use crate::base::ids::Incarnation;
-use crate::base::process_end::ProcessEnd;
 use crate::base::timer::TimerService;
 use crate::log::backoff::RetryBackoff;
 use crate::node::identity::next_incarnation;
@@ -165,7 +164,6 @@
             .client(client.clone())
             .metrics(metrics.clone())
             .log(log.clone())
-            .end(ProcessEnd::default())
             .build();
         let dispatcher = SidecarDispatcher::new(
             Arc::clone(&settings),
@@ -176,11 +174,6 @@
         );
 
         follow_store(&store, &fleet, &registry, decoder);
-        tokio::spawn(store_departures(
-            store.clone(),
-            Arc::clone(&fleet),
-            registry.departures().clone(),
-        ));
         tokio::spawn(catch_up(Arc::clone(&fleet), TimerService));
         let reports = ReportSender {
             socket: socket.clone(),
@@ -332,7 +325,7 @@
     }
 }
 
-/// Starts the readers of both topics. The fleet's topic is read only after this
+/// Starts the readers of both topics, and the writer of departures. The fleet's topic is read only after this
 /// sidecar has announced itself there, so that of two sidecars that start
 /// together at least one finds the other.
 fn follow_store<S: StateStore, D: ConfigurationDecoder>(
@@ -342,6 +335,12 @@
     decoder: D,
 ) {
     let member = fleet.own();
+    let departures = registry.departures().clone();
+    tokio::spawn(store_departures(
+        store.clone(),
+        Arc::clone(fleet),
+        departures,
+    ));
     let applied = Arc::clone(fleet);
     tokio::spawn(follow_topic(
         store.clone(),
--- a/tests/testsuite/transport_link.rs
+++ b/tests/testsuite/transport_link.rs
@@ -298,7 +298,7 @@
     owner.started.notified().await;
 
     relay.blackhole(RelayDirection::Both);
-    end.set(Instant::now() + Duration::from_secs(60));
+    end.set(Instant::now() + Duration::from_mins(1));
 
     wait_until_told(&owner).await;
     owner.release.cancel();
