sidecar: write responses to their end before a shutdown ends

A caller that reads slowly got a part of its response when the sidecar was stopped: 4.25 MB of 16 MiB, at a sidecar with a second of grace left. Found while a report of others was checked, that requests in a planned stop are cut with no answer.

Cause: a request counted as done once its result was known, and the process exited 0.3 s after the last one. What was still to be written went with it.

The process now counts the connections of callers on which a request has arrived. After they are told to close, those left are still being written, and it waits for them within its grace period.

--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -15,6 +15,7 @@
 //! * [`controller`]: acquires, serves and hands over key ranges.
 //! * [`reconcile`]: decides which change of the range map is due.
 //! * [`moves`]: tracks a planned move of ranges to other sidecars.
+//! * [`callers`]: the connections of callers, and which still get a response.
 //! * [`departures`]: remembers across restarts which upstreams leave.
 //! * [`upstream`]: state of the local upstream, and the calls made to it.
 //! * [`retry_policy`] and [`retry_budget`]: when a failed attempt is retried,
@@ -27,6 +28,7 @@
 //! appends and for the newest record of each key, so it needs no folded log,
 //! no log snapshots and no planner term.
 
+pub mod callers;
 mod conditions;
 pub mod controller;
 pub mod crash_watch;
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use super::callers::CallerConnections;
 use super::controller::EVENT_QUEUE_CAPACITY;
 use super::controller::HeartbeatPort;
 use super::controller::RangeController;
@@ -101,9 +102,8 @@
     pub heartbeats: HeartbeatPort,
     /// Metrics of this sidecar.
     pub metrics: SidecarMetrics,
-    /// Cancelled during a shutdown, when callers' connections should be closed
-    /// after their current request.
-    pub close_connections: CancellationToken,
+    /// The connections of callers, which are closed during a shutdown.
+    pub callers: CallerConnections,
     settings: Arc<SidecarSettings>,
     fleet: Arc<FleetState>,
     slots: SlotQueue,
@@ -220,7 +220,7 @@
             registry,
             heartbeats,
             metrics,
-            close_connections: CancellationToken::new(),
+            callers: CallerConnections::default(),
             settings,
             fleet,
             slots,
@@ -250,7 +250,7 @@
         self.dispatcher
             .end_at(limit.checked_sub(EXIT_MARGIN).unwrap_or(started));
         sleep(READINESS_DELAY.min(self.settings.shutdown_grace / 2)).await;
-        self.close_connections.cancel();
+        self.callers.close();
         while Instant::now() + HANDOVER_TIME < limit && self.has_callers() {
             sleep(TICK_INTERVAL).await;
         }
@@ -280,7 +280,8 @@
         let gauge = self.slots.gauge();
         let own = self.fleet.own().incarnation;
         let owns = !self.fleet.map().map.owned_by(own).is_empty();
-        is_idle && gauge.running == 0 && gauge.waiting == 0 && !owns
+        let is_written = self.callers.answering() == 0;
+        is_idle && is_written && gauge.running == 0 && gauge.waiting == 0 && !owns
     }
 }
 
