--- a/tests/testsuite/faulty_upstream.rs
+++ b/tests/testsuite/faulty_upstream.rs
@@ -6,7 +6,15 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
-
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use buckthornwinch::ranges::FenceNumber;
+use buckthornwinch::ranges::grants::GrantOutcome;
+use buckthornwinch::ranges::grants::RangeGrant;
+use buckthornwinch::sidecar::upstream::ReleaseOutcome;
 use buckthornwinch::sidecar::upstream::UpstreamClient;
 use buckthornwinch::upstream::service::CallError;
 use winch_platform::upstream::HttpUpstreamClient;
@@ -129,3 +137,86 @@
         assert_eq!(result, Err(CallError::Lost), "after {length} bytes");
     }
 }
+
+/// Reads the head and the body of a request; returns its path, or `None` if the client
+/// has closed.
+fn read_call(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))
+        .map_or(0, |length| length.parse().expect("a length"));
+    stream.read_exact(&mut vec![0; length]).ok()?;
+    head.split(' ').nth(1).map(str::to_owned)
+}
+
+const GRANTED: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+const HIGHER_FENCE: &str = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+
+/// Answers calls with `answer_to`, each after it has written its last answer on the same
+/// connection once more. Never answers a release, as a request for the keys goes on.
+fn repeat_answers(mut stream: TcpStream, answer_to: impl Fn(&str) -> &'static str) {
+    let mut last = None;
+    while let Some(path) = read_call(&mut stream) {
+        if let Some(last) = last {
+            respond(&mut stream, last);
+        }
+        if path == "/release" {
+            // Until the client closes.
+            let _closed = stream.read(&mut [0]);
+            return;
+        }
+        let answer = answer_to(&path);
+        respond(&mut stream, answer);
+        last = Some(answer);
+    }
+}
+
+fn grant(fence: FenceNumber) -> RangeGrant {
+    RangeGrant {
+        first: 0,
+        last: 99,
+        fence,
+        hold: Duration::from_secs(2),
+        handover: None,
+    }
+}
+
+/// Guards against keys that are given away while the upstream still works on them: an
+/// answer to a grant that was written once more was taken for that to a release.
+#[tokio::test]
+async fn a_repeated_answer_to_a_grant_is_not_taken_as_that_to_a_release() {
+    let address = start(|stream, _number| repeat_answers(stream, |_path| GRANTED));
+    let client = HttpUpstreamClient::new(address);
+    assert_eq!(client.grant(address, grant(1)).await, GrantOutcome::Granted);
+
+    let outcome = client.release(address, 0, 99, 1).await;
+
+    assert_eq!(outcome, ReleaseOutcome::Unknown);
+}
+
+/// Guards against a grant that the upstream refuses and that counts as accepted.
+#[tokio::test]
+async fn a_repeated_answer_to_a_grant_is_not_taken_as_that_to_the_next_one() {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let address = start(move |stream, _number| {
+        let calls = Arc::clone(&calls);
+        repeat_answers(stream, move |_path| {
+            let is_first = calls.fetch_add(1, Ordering::Relaxed) == 0;
+            if is_first { GRANTED } else { HIGHER_FENCE }
+        });
+    });
+    let client = HttpUpstreamClient::new(address);
+    assert_eq!(client.grant(address, grant(1)).await, GrantOutcome::Granted);
+
+    let outcome = client.grant(address, grant(2)).await;
+
+    assert_eq!(outcome, GrantOutcome::Refused);
+}
