transport: remember that a request has run when its result is dropped

Cause: the list by which an owner recognises a request that is sent again was bounded by the size of the results in it. A request whose result was dropped for its size counted as new. The same for a result that took longer than five seconds to arrive.

What has run is now remembered until five seconds after the request's deadline, when its entry does not send it again; results keep their limit. A request that is sent again and whose result is gone gets "may have run", never a second run. Callers of such a request lose its answer, as they did before.

transport_link::requests_with_large_results_run_once_after_a_reset failed on the code before (13 runs of 8 requests) and passes.

--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -1,5 +1,9 @@
 //! Tracks the requests that an owner has received from one entry node, so that
 //! a resent request never runs twice.
+//!
+//! That a request has run is small, its result may be large. So the results that are
+//! kept have a limit together, and what has run is remembered for as long as the entry
+//! node may send it again.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -11,7 +15,8 @@
 use crate::base::collections::FastMap;
 use crate::base::ids::RequestId;
 
-/// How long a result is kept for an entry node that resends the request.
+/// How long a result is kept for an entry node that resends the request, and how long
+/// after its deadline a request is remembered.
 pub const RESPONSE_RETENTION: Duration = Duration::from_secs(5);
 
 /// Maximum total size of the encoded results that are kept for one entry node.
@@ -27,70 +32,114 @@
     Running,
     /// The request has ended. Send this encoded result again.
     Completed(Bytes),
+    /// The request has ended, and its result is no longer kept.
+    Dropped,
 }
 
 #[derive(Debug)]
 enum InboundState {
-    Running(CancellationToken),
-    Completed(Bytes),
+    Running {
+        cancelled: CancellationToken,
+        deadline: Instant,
+    },
+    Completed {
+        response: Bytes,
+        deadline: Instant,
+    },
+    Dropped,
 }
 
 /// Requests that were received from one entry node, by request id.
 #[derive(Debug, Default)]
 pub struct InboundRequests {
     states: FastMap<RequestId, InboundState>,
-    completed: VecDeque<(Instant, RequestId, usize)>,
+    /// Requests whose results are kept, with the time of the result.
+    completed: VecDeque<(Instant, RequestId)>,
     completed_bytes: usize,
+    /// Requests whose results are not kept any more, with the time until which they
+    /// are remembered, in its order.
+    dropped: VecDeque<(Instant, RequestId)>,
 }
 
 impl InboundRequests {
-    /// Registers a received request and decides how to handle it.
-    pub fn receive(&mut self, id: RequestId) -> InboundDecision {
+    /// Registers a received request and decides how to handle it. The entry node does
+    /// not send it again after `deadline`.
+    pub fn receive(&mut self, id: RequestId, deadline: Instant) -> InboundDecision {
         match self.states.get(&id) {
-            Some(InboundState::Running(_)) => InboundDecision::Running,
-            Some(InboundState::Completed(response)) => InboundDecision::Completed(response.clone()),
+            Some(InboundState::Running { .. }) => InboundDecision::Running,
+            Some(InboundState::Completed { response, .. }) => {
+                InboundDecision::Completed(response.clone())
+            }
+            Some(InboundState::Dropped) => InboundDecision::Dropped,
             None => {
-                let token = CancellationToken::new();
-                self.states.insert(id, InboundState::Running(token.clone()));
-                InboundDecision::Run(token)
+                let cancelled = CancellationToken::new();
+                let state = InboundState::Running {
+                    cancelled: cancelled.clone(),
+                    deadline,
+                };
+                self.states.insert(id, state);
+                InboundDecision::Run(cancelled)
             }
         }
     }
 
-    /// Stores the encoded result of a request and removes expired results.
+    /// Stores the encoded result of a request and removes what has expired. No effect
+    /// unless the request is running.
     pub fn complete(&mut self, id: RequestId, response: Bytes, now: Instant) {
+        let Some(InboundState::Running { deadline, .. }) = self.states.get(&id) else {
+            return;
+        };
+        let deadline = *deadline;
         self.completed_bytes += response.len();
-        self.completed.push_back((now, id, response.len()));
-        self.states.insert(id, InboundState::Completed(response));
+        self.completed.push_back((now, id));
+        let state = InboundState::Completed { response, deadline };
+        self.states.insert(id, state);
         self.evict(now);
     }
 
     /// Cancels a request. Has no effect if the request is unknown or has ended.
     pub fn cancel(&mut self, id: RequestId) {
-        if let Some(InboundState::Running(token)) = self.states.get(&id) {
-            token.cancel();
+        if let Some(InboundState::Running { cancelled, .. }) = self.states.get(&id) {
+            cancelled.cancel();
         }
     }
 
-    /// Returns the number of running requests and of kept results.
+    /// Returns the number of running requests and of those that are remembered.
     pub fn len(&self) -> usize {
         self.states.len()
     }
 
-    /// Returns whether no request is running and no result is kept.
+    /// Returns whether no request is running or remembered.
     pub fn is_empty(&self) -> bool {
         self.states.is_empty()
     }
 
     fn evict(&mut self, now: Instant) {
-        while let Some(&(at, id, size)) = self.completed.front() {
+        while let Some(&(at, id)) = self.completed.front() {
             let expired = now.duration_since(at) > RESPONSE_RETENTION;
             if !expired && self.completed_bytes <= MAX_KEPT_BYTES {
-                return;
+                break;
             }
             self.completed.pop_front();
-            self.completed_bytes -= size;
+            self.drop_result(id);
+        }
+        while let Some(&(until, id)) = self.dropped.front()
+            && until <= now
+        {
+            self.dropped.pop_front();
             self.states.remove(&id);
         }
     }
+
+    fn drop_result(&mut self, id: RequestId) {
+        let former = self.states.insert(id, InboundState::Dropped);
+        let Some(InboundState::Completed { response, deadline }) = former else {
+            return;
+        };
+        self.completed_bytes -= response.len();
+        // Not before those that were dropped earlier, so that the queue stays in order.
+        let last = self.dropped.back().map(|(until, _id)| *until);
+        let until = last.max(Some(deadline + RESPONSE_RETENTION));
+        self.dropped.extend(until.map(|until| (until, id)));
+    }
 }
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -25,16 +25,21 @@
 use super::inbound::InboundRequests;
 use crate::admission::load::OwnerLoad;
 use crate::base::collections::FastMap;
+use crate::base::error::ErrorKind;
 use crate::base::ids::Incarnation;
 use crate::base::ids::Offset;
 use crate::base::ids::RequestId;
 use crate::base::process_end::ProcessEnd;
+use crate::delivery::message::RequestFailure;
 use crate::delivery::message::RequestResult;
 use crate::delivery::message::RoutedRequest;
 
 /// Time limit for the first message on a new connection.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long an entry node may resend a request that has no deadline.
+const RESEND_PERIOD: Duration = Duration::from_mins(1);
+
 /// How long a connection may be silent before it is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -272,9 +277,22 @@
         session: &Arc<EntrySession>,
         sender: &ConnectionSender,
     ) {
-        match session.with_inbound(|inbound| inbound.receive(id)) {
+        let deadline = Instant::now() + request.remaining.unwrap_or(RESEND_PERIOD);
+        match session.with_inbound(|inbound| inbound.receive(id, deadline)) {
             InboundDecision::Running => {}
             InboundDecision::Completed(response) => drop(sender.send(response).await),
+            InboundDecision::Dropped => {
+                log::info!("transport: the result of a resent request is no longer kept");
+                let response = encode_message(&PeerMessage::Response {
+                    id,
+                    result: Box::new(Err(RequestFailure::new(
+                        ErrorKind::ConnectionLost,
+                        "the result was lost after the request had run",
+                    ))),
+                    load: self.handler.load(),
+                });
+                drop(sender.send(response).await);
+            }
             InboundDecision::Run(cancelled) => {
                 let signals = EntrySignals {
                     cancelled,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod handover;
 mod heartbeat_walk;
 mod hotkeys;
+mod inbound_requests;
 mod load_balancing;
 mod log_client;
 mod log_sessions;
--- a/tests/testsuite/transport_link.rs
+++ b/tests/testsuite/transport_link.rs
@@ -13,6 +13,7 @@
 use buckthornwinch::admission::load::OwnerLoad;
 use buckthornwinch::admission::load::class_tag;
 use buckthornwinch::base::error::ErrorKind;
+use buckthornwinch::base::error::RequestOutcome;
 use buckthornwinch::base::process_end::ProcessEnd;
 use buckthornwinch::delivery::message::RequestResult;
 use buckthornwinch::delivery::message::RoutedRequest;
@@ -33,6 +34,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -50,6 +52,8 @@
     started: Arc<Notify>,
     release: CancellationToken,
     load: OwnerLoad,
+    /// Bytes added to the end of each response body.
+    padding: usize,
     /// Those of the newest request.
     signals: Arc<Mutex<EntrySignals>>,
 }
@@ -60,10 +64,12 @@
         self.runs.fetch_add(1, Ordering::SeqCst);
         self.started.notify_one();
         self.release.cancelled().await;
+        let mut body = request.path.as_bytes().to_vec();
+        body.resize(body.len() + self.padding, b'x');
         Ok(UpstreamResponse {
             status: 200,
             headers: Vec::new(),
-            body: Bytes::copy_from_slice(request.path.as_bytes()),
+            body: body.into(),
             epoch: 1,
             stated: StatedCondition::default(),
         })
@@ -304,3 +310,43 @@
     owner.release.cancel();
     call.await.expect("no panic").expect("an answer");
 }
+
+/// Guards against requests that run a second time when they are sent again after a
+/// reset: what was remembered of them had made room for the results of others.
+#[tokio::test]
+async fn requests_with_large_results_run_once_after_a_reset() {
+    const REQUESTS: u64 = 8;
+    let owner = CountingOwner {
+        padding: 2 * 1024 * 1024,
+        ..CountingOwner::default()
+    };
+    let (address, _stop) = serve(OWNER, owner.clone()).await;
+    let relay = TcpRelay::start(address).await;
+    let link = link(relay.address());
+    let mut calls = JoinSet::new();
+    for _request in 0..REQUESTS {
+        let link = link.clone();
+        calls.spawn(async move { link.call(order("orders", "/reorder")).await });
+    }
+    while owner.runs.load(Ordering::SeqCst) < REQUESTS {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+
+    // Results are on their way and don't arrive.
+    relay.blackhole(RelayDirection::Back);
+    owner.release.cancel();
+    let results = timeout(Duration::from_secs(20), calls.join_all())
+        .await
+        .expect("every request is answered");
+
+    assert!(relay.accepted() > 1, "the connection was replaced");
+    assert_eq!(owner.runs.load(Ordering::SeqCst), REQUESTS);
+    for result in results {
+        let outcome = result.map_err(|failure| failure.kind.response().outcome);
+        assert!(
+            matches!(outcome, Ok(_) | Err(RequestOutcome::Unknown)),
+            "{:?}",
+            outcome.err()
+        );
+    }
+}
