transport: a connection on which a large message arrives is not silent

Cause: only whole messages counted as a sign of life. A large one, or many that are interleaved, may take longer than the 700 ms after which a connection is replaced; then everything starts again on the next one.

Each chunk counts now. transport_link::a_connection_on_which_a_large_result_ arrives_is_not_silent had no result after 20 s on the code before, since the connection was replaced again and again; it passes.

--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -10,6 +10,7 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::FramedWrite;
 use tokio_util::codec::LengthDelimitedCodec;
@@ -34,6 +35,7 @@
 pub struct ConnectionReader {
     frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
     assembler: MessageAssembler,
+    last_chunk: Instant,
 }
 
 impl ConnectionReader {
@@ -47,6 +49,7 @@
     /// chunk.
     pub async fn next(&mut self) -> io::Result<Option<PeerMessage>> {
         while let Some(frame) = self.frames.next().await {
+            self.last_chunk = Instant::now();
             let message = self.assembler.accept(&frame?).map_err(|error| {
                 io::Error::new(io::ErrorKind::InvalidData, format!("{error:?}"))
             })?;
@@ -56,6 +59,12 @@
         }
         Ok(None)
     }
+
+    /// Returns when the newest chunk of a message arrived, or when the connection was
+    /// opened.
+    pub fn last_chunk(&self) -> Instant {
+        self.last_chunk
+    }
 }
 
 /// The sending half of a connection: a bounded queue to its writer task.
@@ -73,6 +82,7 @@
     let reader = ConnectionReader {
         frames: FramedRead::new(read, codec()),
         assembler: MessageAssembler::default(),
+        last_chunk: Instant::now(),
     };
     let (sender, queue) = mpsc::channel(MAX_QUEUED_MESSAGES);
     tokio::spawn(write_chunks(FramedWrite::new(write, codec()), queue));
--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -287,7 +287,8 @@
 struct ActiveConnection {
     reader: ConnectionReader,
     sender: ConnectionSender,
-    last_received: Instant,
+    /// Silence is not counted from before this time.
+    counted_from: Instant,
     /// Whether the owner was told on this connection when this process ends.
     is_end_told: bool,
 }
@@ -451,7 +452,7 @@
         Ok(expected.then(|| ActiveConnection {
             reader,
             sender,
-            last_received: Instant::now(),
+            counted_from: Instant::now(),
             is_end_told: false,
         }))
     }
@@ -475,7 +476,6 @@
         tokio::select! {
             message = connection.reader.next() => match message {
                 Ok(Some(message)) => {
-                    connection.last_received = Instant::now();
                     self.handle_message(message);
                     None
                 }
@@ -553,15 +553,19 @@
         tick: TimerTick,
     ) -> Option<ConnectionEnd> {
         if tick.since_last > MAX_TICK_GAP {
-            connection.last_received = tick.now;
+            connection.counted_from = tick.now;
         }
         let in_use =
             !self.pending.is_empty() || tick.now.duration_since(self.last_used) < IN_USE_PERIOD;
         if !in_use {
-            connection.last_received = tick.now;
+            connection.counted_from = tick.now;
             return None;
         }
-        let silence = tick.now.duration_since(connection.last_received);
+        // A large message takes a while to arrive on a slow link.
+        let last_chunk = connection.reader.last_chunk();
+        let silence = tick
+            .now
+            .saturating_duration_since(last_chunk.max(connection.counted_from));
         if silence > SILENCE_TIMEOUT {
             log::info!("transport: the connection to {:x} is silent", self.to);
             return Some(ConnectionEnd::Broken);
--- a/tests/testsuite/transport_link.rs
+++ b/tests/testsuite/transport_link.rs
@@ -21,6 +21,9 @@
 use buckthornwinch::transport::connection;
 use buckthornwinch::transport::connection::ConnectionReader;
 use buckthornwinch::transport::connection::ConnectionSender;
+use buckthornwinch::transport::frame::CHUNK_BYTES;
+use buckthornwinch::transport::frame::ChunkQueue;
+use buckthornwinch::transport::frame::MessageAssembler;
 use buckthornwinch::transport::frame::PROTOCOL_VERSION;
 use buckthornwinch::transport::frame::PeerMessage;
 use buckthornwinch::transport::frame::encode_message;
@@ -31,12 +34,16 @@
 use buckthornwinch::transport::server::PeerServer;
 use buckthornwinch::upstream::condition::StatedCondition;
 use bytes::Bytes;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
 use tokio_util::sync::CancellationToken;
 use winch_standin::relay::RelayDirection;
 use winch_standin::relay::TcpRelay;
@@ -350,3 +357,59 @@
         );
     }
 }
+
+/// Answers the first request with a result in chunks that take longer together than a
+/// link waits for a silent connection.
+async fn answer_slowly(listener: TcpListener, accepted: Arc<AtomicU64>) {
+    const PAUSE: Duration = Duration::from_millis(250);
+    while let Ok((stream, _from)) = listener.accept().await {
+        accepted.fetch_add(1, Ordering::SeqCst);
+        let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
+        let mut assembler = MessageAssembler::default();
+        while let Some(Ok(frame)) = frames.next().await {
+            let answer = match assembler.accept(&frame).expect("a chunk") {
+                Some(PeerMessage::Hello { to, .. }) => PeerMessage::Welcome { incarnation: to },
+                Some(PeerMessage::Request { id, .. }) => PeerMessage::Response {
+                    id,
+                    result: Box::new(Ok(UpstreamResponse {
+                        status: 200,
+                        headers: Vec::new(),
+                        body: vec![b'x'; 6 * CHUNK_BYTES].into(),
+                        epoch: 1,
+                        stated: StatedCondition::default(),
+                    })),
+                    load: OwnerLoad::default(),
+                },
+                _ => continue,
+            };
+            let mut chunks = ChunkQueue::default();
+            chunks.push(encode_message(&answer));
+            while let Some(chunk) = chunks.next_chunk() {
+                if frames.send(chunk).await.is_err() {
+                    break;
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Guards against a connection that is replaced although a large result still arrives,
+/// whereupon all requests on it are sent again.
+#[tokio::test]
+async fn a_connection_on_which_a_large_result_arrives_is_not_silent() {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let accepted = Arc::new(AtomicU64::new(0));
+    tokio::spawn(answer_slowly(listener, Arc::clone(&accepted)));
+
+    let link = link(address);
+    let call = link.call(order("orders", "/reorder"));
+    let result = timeout(Duration::from_secs(20), call).await;
+
+    let body = result.map(|answered| answered.map(|answer| answer.body.len()));
+    assert_eq!(body, Ok(Ok(6 * CHUNK_BYTES)));
+    assert_eq!(accepted.load(Ordering::SeqCst), 1);
+}
