routes: start weighted splits at a random position of their cycle

Callers of a split route got the small part too rarely in a large fleet. Each process began its cycle with the service of the greatest weight, and began it anew with each configuration. With weights of 90 and 10 and up to four requests at each of 300 processes, no request went to the small part, where one in ten should.

Each process now starts at a random position, so that the shares hold over the fleet from the first request on. Within one process they are exact over each cycle, as before.

a_split_keeps_to_its_weights_when_each_process_gets_few_requests fails if every process starts at position 0, as before: share 0 with 1 request each.

--- a/src/routes/matcher.rs
+++ b/src/routes/matcher.rs
@@ -48,8 +48,10 @@
 
 impl RouteMatcher {
     /// Compiles a configuration, which must be valid: a duplicate name or
-    /// prefix replaces the earlier one.
-    pub fn new(configuration: Arc<RouteConfiguration>) -> Self {
+    /// prefix replaces the earlier one. `split_position` is the fraction of its cycle,
+    /// from 0 to 1, at which each weighted split starts; it should differ between
+    /// processes.
+    pub fn new(configuration: Arc<RouteConfiguration>, split_position: f64) -> Self {
         let mut hosts = FastMap::default();
         let mut names = FastMap::default();
         for host in &configuration.hosts {
@@ -57,9 +59,10 @@
                 .entry(host.host.to_ascii_lowercase().into())
                 .or_default();
             for rule in &host.rules {
+                let split = WeightedSplit::starting_at(split_position, &rule.destinations);
                 let route = Arc::new(CompiledRoute {
                     rule: rule.clone(),
-                    split: Mutex::default(),
+                    split: Mutex::new(split),
                 });
                 names.insert(rule.name.clone(), Arc::clone(&route));
                 prefixes.insert(rule.prefix.clone(), route);
--- a/src/sidecar/fleet.rs
+++ b/src/sidecar/fleet.rs
@@ -311,7 +311,8 @@
             if current.is_some_and(|current| current >= version) {
                 return false;
             }
-            *known = Some(Arc::new(RouteMatcher::new(Arc::new(configuration))));
+            let matcher = RouteMatcher::new(Arc::new(configuration), rand::random());
+            *known = Some(Arc::new(matcher));
             true
         });
         if newer {
--- a/tests/testsuite/routes.rs
+++ b/tests/testsuite/routes.rs
@@ -13,6 +13,8 @@
 use buckthornwinch::routes::matcher::RouteMatcher;
 use buckthornwinch::routes::split::WeightedSplit;
 use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 fn rule(name: &str, prefix: &str) -> RouteRule {
     RouteRule {
@@ -52,7 +54,7 @@
 }
 
 fn table(rules: Vec<RouteRule>) -> RouteMatcher {
-    RouteMatcher::new(Arc::new(configuration(rules)))
+    RouteMatcher::new(Arc::new(configuration(rules)), 0.0)
 }
 
 fn found(table: &RouteMatcher, host: &str, path: &str) -> Option<Box<str>> {
@@ -109,6 +111,46 @@
     assert_eq!(counts, [270, 30, 0]);
 }
 
+/// Returns the fraction of requests that go to `orders-v2`, which has a weight of 10 in
+/// 100, if each of 300 processes gets `requests` of them.
+fn share_of_small_part(requests: u32) -> f64 {
+    const PROCESSES: u32 = 300;
+    let mut random = StdRng::seed_from_u64(1);
+    let mut split_rule = rule("split", "/a/");
+    split_rule.destinations = vec![
+        WeightedService {
+            service: "orders".into(),
+            weight: 90,
+        },
+        WeightedService {
+            service: "orders-v2".into(),
+            weight: 10,
+        },
+    ];
+    let mut small = 0;
+    for _process in 0..PROCESSES {
+        let configuration = Arc::new(configuration(vec![split_rule.clone()]));
+        let table = RouteMatcher::new(configuration, random.random());
+        let route = table.find("shop.example", "/a/x").expect("a route");
+        for _request in 0..requests {
+            let service = route.choose_service().expect("a service");
+            small += u32::from(&**service == "orders-v2");
+        }
+    }
+    f64::from(small) / f64::from(PROCESSES * requests)
+}
+
+/// Guards against a fleet whose processes all begin their cycles with the same service,
+/// so that a small part of a split gets no requests while each process has had few.
+#[test]
+fn a_split_keeps_to_its_weights_when_each_process_gets_few_requests() {
+    for requests in [1, 2, 4, 7] {
+        let share = share_of_small_part(requests);
+
+        assert!((share - 0.1).abs() < 0.04, "{requests} requests: {share}");
+    }
+}
+
 #[test]
 fn invalid_configurations_are_refused_with_the_name_of_the_route() {
     let mut no_slash = rule("r", "/a");
