peers: separate the decisions of catching up, and run a fleet of 300 with them

When a sidecar asks a peer for its state, and when it reads the store anew, was decided inside the loop that does both, so no test could run a large fleet. The decision is `peers::catch_up::CatchUpPlan` now, which takes the time and random numbers. Behaviour is unchanged.

fleet_configuration runs 300 sidecars with it in virtual time: one of them can read a new configuration, the others only learn of it from reports. A VM takes 35 ms to send its state, as one with 20 Mbit/s and a tenth of a core does.

--- /dev/null
+++ b/src/peers/catch_up.rs
@@ -0,0 +1,82 @@
+//! When a process that is behind its peers fetches the state of one of them, and when
+//! it reads the store anew.
+//!
+//! News of a configuration or a map reaches most processes directly: from the store,
+//! or as an edit by datagram. This is the other way, for a process whose read of the
+//! store hangs or is refused, or that lost the datagram. It is pure, so that a test can
+//! run a fleet of hundreds.
+
+use std::time::Duration;
+
+use super::directory::CatchUpDraw;
+use super::directory::KnownVersions;
+use super::directory::PeerDirectory;
+use super::message::MemberRecord;
+
+/// Number of peers that are told of a new configuration or map at once. Each of them tells
+/// as many, so that news reaches a fleet of hundreds within a few steps.
+pub const NEWS_FANOUT: usize = 16;
+
+/// Number of consecutive comparisons that show this process behind after which
+/// it reads the store on a new connection. It does so again each time that this
+/// number has doubled.
+const REREAD_AFTER: u32 = 3;
+
+/// What a process that compares itself with its peers is to do.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CatchUpStep {
+    /// The member whose state is to be fetched.
+    pub ask: Option<MemberRecord>,
+    /// Whether to read the operator's topic on a new connection.
+    pub read_operator: bool,
+    /// Whether to read the fleet's topic on a new connection.
+    pub read_fleet: bool,
+}
+
+/// What one process has found by comparing itself with its peers.
+#[derive(Debug, Clone, Default)]
+pub struct CatchUpPlan {
+    times_behind: u32,
+}
+
+impl CatchUpPlan {
+    /// Returns the number of consecutive comparisons that showed this process behind.
+    pub fn times_behind(&self) -> u32 {
+        self.times_behind
+    }
+
+    /// Compares this process, which knows `known`, with its peers at `now`, where
+    /// `interval` is the time between two reports. `requested` tells that a change
+    /// arrived that is based on a map which this process does not have. `draw` is
+    /// random.
+    pub fn compare(
+        &mut self,
+        directory: &PeerDirectory,
+        known: KnownVersions,
+        now: Duration,
+        interval: Duration,
+        requested: bool,
+        draw: CatchUpDraw,
+    ) -> CatchUpStep {
+        let Some(ahead) = directory.choose_ahead(known, now, interval, draw) else {
+            self.times_behind = 0;
+            return CatchUpStep::default();
+        };
+        self.times_behind += 1;
+        // After the first comparison the change may still be on its way here.
+        if !ahead.is_turn || (self.times_behind < 2 && !requested) {
+            return CatchUpStep::default();
+        }
+        let is_due = self.is_reread_due();
+        CatchUpStep {
+            ask: Some(ahead.peer.member.clone()),
+            read_operator: is_due && ahead.peer.configuration > known.configuration,
+            read_fleet: is_due && ahead.peer.map > known.map,
+        }
+    }
+
+    fn is_reread_due(&self) -> bool {
+        let times = self.times_behind;
+        times.is_multiple_of(REREAD_AFTER) && (times / REREAD_AFTER).is_power_of_two()
+    }
+}
--- a/src/sidecar/fleet.rs
+++ b/src/sidecar/fleet.rs
@@ -37,7 +37,13 @@
 
 /// Number of sidecars that poll the operator's topic for the fleet: one, and a
 /// second one for when the first is cut off from the store.
-const WATCHER_COUNT: usize = 2;
+pub const WATCHER_COUNT: usize = 2;
+
+/// Returns the interval between status reports of a sidecar that knows this number of
+/// other members.
+pub fn report_interval_of(members: usize) -> Duration {
+    MIN_REPORT_INTERVAL.max(REPORT_INTERVAL_PER_MEMBER * members as u32)
+}
 
 /// A range map with the offset of its record.
 #[derive(Debug, Clone, Default)]
@@ -275,8 +281,7 @@
     /// Returns the interval between status reports, for the current number of
     /// members.
     pub fn report_interval(&self) -> Duration {
-        let members = self.directory().count() as u32;
-        MIN_REPORT_INTERVAL.max(REPORT_INTERVAL_PER_MEMBER * members)
+        report_interval_of(self.directory().count())
     }
 
     /// Returns whether a peer has reported within the last few report
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -24,8 +24,9 @@
 use crate::base::ids::Offset;
 use crate::base::timer::TimerService;
 use crate::log::backoff::RetryBackoff;
+use crate::peers::catch_up::CatchUpPlan;
+use crate::peers::catch_up::CatchUpStep;
 use crate::peers::directory::CatchUpDraw;
-use crate::peers::directory::KnownPeer;
 use crate::peers::directory::KnownVersions;
 use crate::peers::message::MemberRecord;
 use crate::ranges::map::decode_map;
@@ -63,15 +64,10 @@
 const FLEET_READ_PAUSE: (Duration, Duration) = (Duration::from_secs(8), Duration::from_millis(400));
 
 /// How often peers' reports are compared with the local state.
-const COMPARE_INTERVAL: Duration = Duration::from_millis(150);
-
-/// Number of consecutive comparisons that show this sidecar behind after which
-/// it reads the store on a new connection. It does so again each time that this
-/// number has doubled.
-const REREAD_AFTER: u32 = 3;
+pub const COMPARE_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Maximum time to fetch a peer's state.
-const PEER_FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+pub const PEER_FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Key of the range map in the fleet's topic.
 pub const MAP_KEY: &str = "ranges";
@@ -274,65 +270,30 @@
     }
 }
 
-/// Returns whether the store is to be read anew after this number of consecutive
-/// comparisons that show this sidecar behind.
-fn is_reread_due(times_behind: u32) -> bool {
-    times_behind.is_multiple_of(REREAD_AFTER) && (times_behind / REREAD_AFTER).is_power_of_two()
-}
-
 /// Compares peers' reports with the local state until the process ends, and
 /// fetches the state of a peer that has a newer configuration or map.
 pub async fn catch_up(fleet: Arc<FleetState>, timer: TimerService) {
     let mut ticks = timer.subscribe(COMPARE_INTERVAL);
-    let mut times_behind = 0_u32;
+    let mut plan = CatchUpPlan::default();
     loop {
         let requested = tokio::select! {
             _tick = ticks.next() => false,
             () = fleet.catch_up_request.notified() => true,
         };
-        let Some((ahead, is_turn)) = choose_peer_ahead(&fleet) else {
-            times_behind = 0;
-            continue;
-        };
-        times_behind += 1;
-        // After the first comparison the change may still be on its way here.
-        if !is_turn || (times_behind < 2 && !requested) {
-            continue;
+        let step = compare_with_peers(&fleet, &mut plan, requested);
+        if step.read_operator {
+            fleet.operator_read_request.notify_one();
         }
-        if is_reread_due(times_behind) {
-            if ahead.configuration > fleet.configuration_version() {
-                fleet.operator_read_request.notify_one();
-            }
-            if ahead.map > fleet.map().offset {
-                fleet.fleet_read_request.notify_one();
-            }
+        if step.read_fleet {
+            fleet.fleet_read_request.notify_one();
         }
-        let peer = ahead.member;
-        match fetch_encoded_state(peer.address, 0, PEER_FETCH_TIMEOUT).await {
-            Ok(Some(encoded)) => match fleet.install(&encoded) {
-                Ok(()) => {
-                    log::info!(peer = &*peer.node; "fleet: caught up from a peer");
-                    fleet.report_to_some.notify_one();
-                }
-                Err(error) => {
-                    log::warn!(peer = &*peer.node, error:% = error; "fleet: cannot decode a peer's state");
-                }
-            },
-            Ok(None) => {}
-            Err(error) => {
-                log::info!(
-                    peer = &*peer.node, error:% = error, times_behind = times_behind,
-                    configuration = fleet.configuration_version(), map = fleet.map().offset;
-                    "fleet: cannot fetch a peer's state"
-                );
-            }
+        if let Some(peer) = step.ask {
+            fetch_state_of(&peer, &fleet, plan.times_behind()).await;
         }
     }
 }
 
-/// Returns a live peer that has a newer configuration or map than this sidecar, and
-/// whether it may be asked now.
-fn choose_peer_ahead(fleet: &FleetState) -> Option<(KnownPeer, bool)> {
+fn compare_with_peers(fleet: &FleetState, plan: &mut CatchUpPlan, requested: bool) -> CatchUpStep {
     let known = KnownVersions {
         configuration: fleet.configuration_version(),
         map: fleet.map().offset,
@@ -342,7 +303,35 @@
         member: rand::rng().random(),
         turn: rand::rng().random(),
     };
-    let directory = fleet.directory();
-    let ahead = directory.choose_ahead(known, since_boot(), interval, draw)?;
-    Some((ahead.peer.clone(), ahead.is_turn))
+    plan.compare(
+        &fleet.directory(),
+        known,
+        since_boot(),
+        interval,
+        requested,
+        draw,
+    )
+}
+
+/// Fetches the state of `peer` and merges it into `fleet`.
+async fn fetch_state_of(peer: &MemberRecord, fleet: &FleetState, times_behind: u32) {
+    match fetch_encoded_state(peer.address, 0, PEER_FETCH_TIMEOUT).await {
+        Ok(Some(encoded)) => match fleet.install(&encoded) {
+            Ok(()) => {
+                log::info!(peer = &*peer.node; "fleet: caught up from a peer");
+                fleet.report_to_some.notify_one();
+            }
+            Err(error) => {
+                log::warn!(peer = &*peer.node, error:% = error; "fleet: cannot decode a peer's state");
+            }
+        },
+        Ok(None) => {}
+        Err(error) => {
+            log::info!(
+                peer = &*peer.node, error:% = error, times_behind = times_behind,
+                configuration = fleet.configuration_version(), map = fleet.map().offset;
+                "fleet: cannot fetch a peer's state"
+            );
+        }
+    }
 }
--- a/src/sidecar/gossip.rs
+++ b/src/sidecar/gossip.rs
@@ -16,6 +16,7 @@
 use crate::admission::slot_queue::SlotGauge;
 use crate::admission::slot_queue::SlotQueue;
 use crate::base::boot_clock::since_boot;
+use crate::peers::catch_up::NEWS_FANOUT;
 use crate::peers::directory::ReportOutcome;
 use crate::peers::directory::is_fresh;
 use crate::peers::message::PeerDatagram;
@@ -32,10 +33,6 @@
 /// Silent members get only one report in this many, in case they come back.
 const SILENT_MEMBER_DIVISOR: u64 = 4;
 
-/// Number of peers that are told of a new configuration or map at once. Each of them tells
-/// as many, so that news reaches a fleet of hundreds within a few steps.
-const NEWS_FANOUT: usize = 16;
-
 /// The peers that a report goes to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ReportScope {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod error_table;
 mod faulty_upstream;
 mod figures;
+mod fleet_configuration;
 mod fold;
 mod handover;
 mod heartbeat_walk;
