peers: offer a new configuration to few, who may fetch it at once

Callers of a large fleet were handled by an old configuration more than 3 s after the new one was acknowledged (CONFIG), while most sidecars could not read the store.

Cause: a sidecar that knows of a newer configuration asks for it only when it is its turn, with a probability of 8 for each peer that it knows to be ahead, in the size of the fleet. That protects a single source from being asked by all. But news goes to 16 peers at a time, who know of one source each: 300 sidecars then ask with a probability of 0.03 every 150 ms. So the first steps of the spread take the longer the larger the fleet is. The class: a limit that is worked out from the size of the fleet, although only few were told.

Now a sidecar that has a new configuration, or has caught up, offers its state to 8 peers, which may ask at once. Turns remain for those that learn of it from the reports to all. An offer whose fetch fails is discarded.

--- a/src/peers/catch_up.rs
+++ b/src/peers/catch_up.rs
@@ -9,13 +9,14 @@
 use std::time::Duration;
 
 use super::directory::CatchUpDraw;
-use super::directory::KnownVersions;
 use super::directory::PeerDirectory;
+use super::message::KnownVersions;
 use super::message::MemberRecord;
 
-/// Number of peers that are told of a new configuration or map at once. Each of them tells
-/// as many, so that news reaches a fleet of hundreds within a few steps.
-pub const NEWS_FANOUT: usize = 16;
+/// Number of peers to which a process offers its state when it has a new configuration or
+/// has caught up. Each of them offers it to as many, so that news reaches a fleet of
+/// hundreds within a few steps.
+pub const OFFER_FANOUT: usize = 8;
 
 /// Number of consecutive comparisons that show this process behind after which
 /// it reads the store on a new connection. It does so again each time that this
--- a/src/peers/directory.rs
+++ b/src/peers/directory.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::message::KnownVersions;
 use super::message::MemberRecord;
 use super::message::PeerReport;
 use super::message::UpstreamGauge;
@@ -53,6 +54,8 @@
     sequence: u64,
     /// When its newest report was received.
     last_report_at: Option<Duration>,
+    /// The state that it has offered to send to this process.
+    offered: KnownVersions,
 }
 
 impl KnownPeer {
@@ -66,6 +69,7 @@
             departures: DepartureList::default(),
             sequence: 0,
             last_report_at: None,
+            offered: KnownVersions::default(),
         }
     }
 
@@ -74,6 +78,13 @@
         self.gauge.phase == UpstreamPhase::Ready && !self.leaving
     }
 
+    fn versions(&self) -> KnownVersions {
+        KnownVersions {
+            configuration: self.configuration,
+            map: self.map,
+        }
+    }
+
     /// Returns when its newest report was received; `None` before the first one.
     pub fn last_report_at(&self) -> Option<Duration> {
         self.last_report_at
@@ -102,15 +113,6 @@
     pub is_turn: bool,
 }
 
-/// Versions of the shared state that a process knows.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct KnownVersions {
-    /// Version of the configuration in force; 0 for none.
-    pub configuration: Version,
-    /// Offset of the newest range map; 0 for none.
-    pub map: Offset,
-}
-
 /// The other members of the fleet, by the names of their nodes.
 #[derive(Debug, Clone)]
 pub struct PeerDirectory {
@@ -190,6 +192,19 @@
         }
     }
 
+    /// Records that a member offers to send the state with these versions to this
+    /// process. It offers that to a few members only.
+    pub fn record_offer(&mut self, incarnation: Incarnation, offered: KnownVersions) {
+        if let Some(peer) = self.find_mut(incarnation) {
+            peer.offered = offered;
+        }
+    }
+
+    /// Discards the offer of a member that did not send its state.
+    pub fn discard_offer(&mut self, incarnation: Incarnation) {
+        self.record_offer(incarnation, KnownVersions::default());
+    }
+
     /// Returns the departures that a former process of a report's sender has reported
     /// and the report lacks.
     pub fn missing_departures(&self, report: &PeerReport) -> Vec<DepartedUpstream> {
@@ -219,6 +234,10 @@
         self.peers.get(self.nodes.get(&incarnation)?)
     }
 
+    fn find_mut(&mut self, incarnation: Incarnation) -> Option<&mut KnownPeer> {
+        self.peers.get_mut(self.nodes.get(&incarnation)?)
+    }
+
     /// Returns whether a member of the node is known.
     pub fn has_node(&self, node: &str) -> bool {
         self.peers.contains_key(node)
@@ -242,9 +261,11 @@
     /// Members with a newer configuration go before those with a newer map only, which
     /// may have the old configuration. `draw` is random. It decides between several
     /// members: if all processes that are behind asked the same one, it could not serve
-    /// them in time, and one that does not respond would be asked again and again. It
-    /// also decides whether it is this process's turn to ask, so that a few members
-    /// that are ahead are not asked by all others at once.
+    /// them in time, and one that does not respond would be asked again and again.
+    ///
+    /// A member that has offered its state may be asked at once, as it offers it to few.
+    /// Otherwise `draw` decides whether it is this process's turn to ask, so that a few
+    /// members that are ahead are not asked by all others at once.
     pub fn choose_ahead(
         &self,
         known: KnownVersions,
@@ -252,23 +273,22 @@
         interval: Duration,
         draw: CatchUpDraw,
     ) -> Option<AheadPeer<'_>> {
-        let live = self.live(now, interval).count();
-        let mut ahead: Vec<&KnownPeer> = self
-            .live(now, interval)
-            .filter(|peer| peer.configuration > known.configuration)
-            .collect();
+        let live: Vec<&KnownPeer> = self.live(now, interval).collect();
+        let is_newer = |versions: KnownVersions| versions.configuration > known.configuration;
+        let mut ahead = select(&live, |peer| is_newer(peer.versions()));
+        let mut offers = select(&ahead, |peer| is_newer(peer.offered));
         if ahead.is_empty() {
-            ahead = self
-                .live(now, interval)
-                .filter(|peer| peer.map > known.map)
-                .collect();
+            ahead = select(&live, |peer| peer.map > known.map);
+            offers = select(&ahead, |peer| peer.offered.map > known.map);
         }
-        let last = ahead.len().checked_sub(1)?;
-        let chosen = (draw.member * ahead.len() as f64) as usize;
+        let is_offered = !offers.is_empty();
+        let asked = if is_offered { &offers } else { &ahead };
+        let last = asked.len().checked_sub(1)?;
+        let chosen = (draw.member * asked.len() as f64) as usize;
         let turns = (ahead.len() * ASKS_PER_PEER) as f64;
         Some(AheadPeer {
-            peer: ahead[chosen.min(last)],
-            is_turn: draw.turn * live as f64 <= turns,
+            peer: asked[chosen.min(last)],
+            is_turn: is_offered || draw.turn * live.len() as f64 <= turns,
         })
     }
 
@@ -295,6 +315,14 @@
     }
 }
 
+fn select<'a>(
+    peers: &[&'a KnownPeer],
+    is_selected: impl Fn(&KnownPeer) -> bool,
+) -> Vec<&'a KnownPeer> {
+    let selected = peers.iter().copied();
+    selected.filter(|peer| is_selected(peer)).collect()
+}
+
 /// Returns whether a member's newest report is at most three report intervals
 /// old. A member that has not reported is not fresh.
 pub fn is_fresh(peer: &KnownPeer, now: Duration, interval: Duration) -> bool {
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -101,6 +101,25 @@
     pub departures: Vec<DepartedUpstream>,
 }
 
+impl PeerReport {
+    /// Returns the versions of the shared state that the process knows.
+    pub fn versions(&self) -> KnownVersions {
+        KnownVersions {
+            configuration: self.configuration,
+            map: self.map,
+        }
+    }
+}
+
+/// Versions of the shared state that a process knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct KnownVersions {
+    /// Version of the configuration in force; 0 for none.
+    pub configuration: Version,
+    /// Offset of the newest range map; 0 for none.
+    pub map: Offset,
+}
+
 /// A datagram between sidecars.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -183,4 +202,7 @@
         /// The term under which the holder is refused.
         term: Offset,
     },
+    /// A report of the sender about itself, which has a newer configuration or map and
+    /// offers its state to the recipient. It offers it to a few members.
+    Offer(Box<PeerReport>),
 }
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -27,7 +27,7 @@
 use crate::peers::catch_up::CatchUpPlan;
 use crate::peers::catch_up::CatchUpStep;
 use crate::peers::directory::CatchUpDraw;
-use crate::peers::directory::KnownVersions;
+use crate::peers::message::KnownVersions;
 use crate::peers::message::MemberRecord;
 use crate::ranges::map::decode_map;
 use crate::routes::check::check_configuration;
@@ -327,6 +327,7 @@
         },
         Ok(None) => {}
         Err(error) => {
+            fleet.directory().discard_offer(peer.incarnation);
             log::info!(
                 peer = &*peer.node, error:% = error, times_behind = times_behind,
                 configuration = fleet.configuration_version(), map = fleet.map().offset;
--- a/src/sidecar/gossip.rs
+++ b/src/sidecar/gossip.rs
@@ -16,7 +16,7 @@
 use crate::admission::slot_queue::SlotGauge;
 use crate::admission::slot_queue::SlotQueue;
 use crate::base::boot_clock::since_boot;
-use crate::peers::catch_up::NEWS_FANOUT;
+use crate::peers::catch_up::OFFER_FANOUT;
 use crate::peers::directory::ReportOutcome;
 use crate::peers::directory::is_fresh;
 use crate::peers::message::PeerDatagram;
@@ -38,7 +38,7 @@
 enum ReportScope {
     /// All peers.
     All,
-    /// [`NEWS_FANOUT`] random peers.
+    /// [`OFFER_FANOUT`] random peers, to which the state is offered.
     Some,
     /// Those that may not know this sidecar.
     Introductions,
@@ -107,14 +107,17 @@
             member: Some(self.fleet.own().clone()),
             ..short.clone()
         };
-        let short = PeerDatagram::Report(Box::new(short));
-        let long = PeerDatagram::Report(Box::new(long));
+        let datagram = |report| match scope {
+            ReportScope::Some => PeerDatagram::Offer(Box::new(report)),
+            ReportScope::All | ReportScope::Introductions => PeerDatagram::Report(Box::new(report)),
+        };
+        let (short, long) = (datagram(short), datagram(long));
         let recipients = match scope {
             ReportScope::All => self.recipients(sequence),
             ReportScope::Some => {
                 let mut all = self.recipients(sequence);
                 all.shuffle(&mut rand::rng());
-                all.truncate(NEWS_FANOUT);
+                all.truncate(OFFER_FANOUT);
                 all
             }
             ReportScope::Introductions => {
@@ -190,6 +193,11 @@
             Ok((from, Ok(PeerDatagram::Report(report)))) => {
                 handle_report(&socket, &fleet, from, *report);
             }
+            Ok((from, Ok(PeerDatagram::Offer(report)))) => {
+                let (incarnation, offered) = (report.incarnation, report.versions());
+                handle_report(&socket, &fleet, from, *report);
+                fleet.directory().record_offer(incarnation, offered);
+            }
             Ok((from, Ok(PeerDatagram::AskMember))) => {
                 fleet.introduce_to(from);
             }
--- a/tests/testsuite/fleet_configuration.rs
+++ b/tests/testsuite/fleet_configuration.rs
@@ -12,10 +12,10 @@
 use buckthornwinch::base::ids::Incarnation;
 use buckthornwinch::base::ids::Version;
 use buckthornwinch::peers::catch_up::CatchUpPlan;
-use buckthornwinch::peers::catch_up::NEWS_FANOUT;
+use buckthornwinch::peers::catch_up::OFFER_FANOUT;
 use buckthornwinch::peers::directory::CatchUpDraw;
-use buckthornwinch::peers::directory::KnownVersions;
 use buckthornwinch::peers::directory::PeerDirectory;
+use buckthornwinch::peers::message::KnownVersions;
 use buckthornwinch::peers::message::MemberRecord;
 use buckthornwinch::peers::message::PeerReport;
 use buckthornwinch::peers::message::UpstreamGauge;
@@ -55,8 +55,8 @@
 enum FleetEvent {
     /// A sidecar reports to all others.
     Report(usize),
-    /// A report with a version arrives: to, from, version.
-    Reported(usize, usize, Version),
+    /// A report with a version arrives: to, from, version, whether it is an offer.
+    Reported(usize, usize, Version, bool),
     /// A sidecar compares itself with its peers.
     Compare(usize),
     /// A peer's state arrives, or the fetch of it fails.
@@ -185,7 +185,7 @@
 
     fn handle(&mut self, event: FleetEvent) {
         let (FleetEvent::Report(subject)
-        | FleetEvent::Reported(subject, _, _)
+        | FleetEvent::Reported(subject, _, _, _)
         | FleetEvent::Compare(subject)
         | FleetEvent::Fetched(subject, _)
         | FleetEvent::Read(subject, _)) = event;
@@ -195,10 +195,12 @@
         match event {
             FleetEvent::Report(from) => {
                 let all = (0..SIDECARS).filter(|to| *to != from).collect();
-                self.report(from, all);
+                self.report(from, all, false);
                 self.schedule(interval(), event);
             }
-            FleetEvent::Reported(to, from, version) => self.record_report(to, from, version),
+            FleetEvent::Reported(to, from, version, is_offer) => {
+                self.record_report(to, from, version, is_offer);
+            }
             FleetEvent::Compare(number) => {
                 self.compare(number);
                 self.schedule(COMPARE_INTERVAL, event);
@@ -214,17 +216,22 @@
         }
     }
 
-    fn report(&mut self, from: usize, recipients: Vec<usize>) {
+    fn report(&mut self, from: usize, recipients: Vec<usize>, is_offer: bool) {
         let version = self.sidecars[from].version;
         for to in recipients {
-            self.schedule(DATAGRAM_DELAY, FleetEvent::Reported(to, from, version));
+            let reported = FleetEvent::Reported(to, from, version, is_offer);
+            self.schedule(DATAGRAM_DELAY, reported);
         }
     }
 
-    fn record_report(&mut self, to: usize, from: usize, version: Version) {
+    fn record_report(&mut self, to: usize, from: usize, version: Version, is_offer: bool) {
         let report = report_of(from, self.sidecars[from].sequence, version);
-        let now = self.now;
-        self.sidecars[to].directory.record_report(report, now);
+        let (now, offered) = (self.now, report.versions());
+        let directory = &mut self.sidecars[to].directory;
+        directory.record_report(report, now);
+        if is_offer {
+            directory.record_offer(incarnation(from), offered);
+        }
     }
 
     fn compare(&mut self, number: usize) {
@@ -273,8 +280,8 @@
         sidecar.sequence += 1;
         let mut peers: Vec<usize> = (0..SIDECARS).filter(|to| *to != number).collect();
         peers.shuffle(&mut self.random);
-        peers.truncate(NEWS_FANOUT);
-        self.report(number, peers);
+        peers.truncate(OFFER_FANOUT);
+        self.report(number, peers, true);
     }
 
     /// Lets the sidecars that still can read the new configuration in the store.
--- a/tests/testsuite/mesh_catch_up.rs
+++ b/tests/testsuite/mesh_catch_up.rs
@@ -15,7 +15,7 @@
 use buckthornwinch::delivery::message::RequestResult;
 use buckthornwinch::delivery::message::RoutedRequest;
 use buckthornwinch::peers::directory::CatchUpDraw;
-use buckthornwinch::peers::directory::KnownVersions;
+use buckthornwinch::peers::message::KnownVersions;
 use buckthornwinch::peers::message::MemberRecord;
 use buckthornwinch::peers::message::PeerReport;
 use buckthornwinch::peers::message::UpstreamGauge;
