peers: read the store anew while behind, also without a turn to ask a peer

A sidecar whose read of the operator's topic hangs is to start a new one once three comparisons in a row show it behind. Since turns to ask peers came in, it did so only if it was also its turn at just that comparison: at 300 sidecars and one peer ahead, with a probability of 0.03, and then at the sixth, twelfth and so on.

The operator's topic is read independent of turns now.

a_sidecar_that_stays_behind_reads_the_store_anew_without_a_turn fails before.

--- a/src/peers/catch_up.rs
+++ b/src/peers/catch_up.rs
@@ -65,14 +65,12 @@
         };
         self.times_behind += 1;
         // After the first comparison the change may still be on its way here.
-        if !ahead.is_turn || (self.times_behind < 2 && !requested) {
-            return CatchUpStep::default();
-        }
+        let may_ask = ahead.is_turn && (self.times_behind >= 2 || requested);
         let is_due = self.is_reread_due();
         CatchUpStep {
-            ask: Some(ahead.peer.member.clone()),
+            ask: may_ask.then(|| ahead.peer.member.clone()),
             read_operator: is_due && ahead.peer.configuration > known.configuration,
-            read_fleet: is_due && ahead.peer.map > known.map,
+            read_fleet: may_ask && is_due && ahead.peer.map > known.map,
         }
     }
 
--- a/tests/testsuite/mesh_catch_up.rs
+++ b/tests/testsuite/mesh_catch_up.rs
@@ -14,6 +14,8 @@
 use buckthornwinch::delivery::message::RequestFailure;
 use buckthornwinch::delivery::message::RequestResult;
 use buckthornwinch::delivery::message::RoutedRequest;
+use buckthornwinch::peers::catch_up::CatchUpPlan;
+use buckthornwinch::peers::catch_up::CatchUpStep;
 use buckthornwinch::peers::directory::CatchUpDraw;
 use buckthornwinch::peers::message::KnownVersions;
 use buckthornwinch::peers::message::MemberRecord;
@@ -224,3 +226,41 @@
     assert_eq!(from_all, 300);
     assert!(most_of_all <= 3, "{most_of_all}");
 }
+
+/// Guards against a sidecar whose long read of the store hangs and that reads it anew
+/// only if it is also its turn to ask a peer.
+#[test]
+fn a_sidecar_that_stays_behind_reads_the_store_anew_without_a_turn() {
+    let own = FleetState::new(member(300, "127.0.0.1:1".parse().expect("an address")));
+    for incarnation in 1..300 {
+        let version = if incarnation == 1 { NEW_VERSION } else { 1 };
+        let peer = member(incarnation, "127.0.0.1:2".parse().expect("an address"));
+        record_report(&own, &peer, version, 0);
+    }
+    let known = KnownVersions {
+        configuration: 1,
+        map: 0,
+    };
+    let never = CatchUpDraw {
+        member: 0.0,
+        turn: 1.0,
+    };
+    let mut plan = CatchUpPlan::default();
+    let interval = Duration::from_secs(1);
+
+    let steps: Vec<CatchUpStep> = (0..4)
+        .map(|_comparison| {
+            plan.compare(
+                &own.directory(),
+                known,
+                since_boot(),
+                interval,
+                false,
+                never,
+            )
+        })
+        .collect();
+
+    assert!(steps.iter().all(|step| step.ask.is_none()), "{steps:?}");
+    assert!(steps.iter().any(|step| step.read_operator), "{steps:?}");
+}
