transport: release what is kept for processes that have ended

Cause: the server keeps the last results for each process that has connected, for when a request is sent again. They were evicted only when a further request of that same process ended, and the session itself only by `winchd`, never by a sidecar.

The server now looks once a second for results and requests whose time has run out, at all sessions, and removes a session that has none left and no connection. A connection is registered while the sessions are locked: otherwise a session could be removed between its look-up and its first connection, and a second session would not know what has run.

--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -94,7 +94,7 @@
         self.completed.push_back((now, id));
         let state = InboundState::Completed { response, deadline };
         self.states.insert(id, state);
-        self.evict(now);
+        self.remove_expired(now);
     }
 
     /// Cancels a request. Has no effect if the request is unknown or has ended.
@@ -114,7 +114,9 @@
         self.states.is_empty()
     }
 
-    fn evict(&mut self, now: Instant) {
+    /// Removes the results that are kept no longer, and forgets the requests that the
+    /// entry node does not send again.
+    pub fn remove_expired(&mut self, now: Instant) {
         while let Some(&(at, id)) = self.completed.front() {
             let expired = now.duration_since(at) > RESPONSE_RETENTION;
             if !expired && self.completed_bytes <= MAX_KEPT_BYTES {
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -30,6 +30,7 @@
 use crate::base::ids::Offset;
 use crate::base::ids::RequestId;
 use crate::base::process_end::ProcessEnd;
+use crate::base::timer::TimerService;
 use crate::delivery::message::RequestFailure;
 use crate::delivery::message::RequestResult;
 use crate::delivery::message::RoutedRequest;
@@ -43,6 +44,9 @@
 /// How long a connection may be silent before it is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// How often results that are kept no longer are looked for.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What an entry node tells about a request while it is processed.
 #[derive(Debug, Clone, Default)]
 pub struct EntrySignals {
@@ -116,13 +120,6 @@
     sender: ConnectionSender,
 }
 
-impl ConnectionGuard {
-    fn new(session: Arc<EntrySession>, sender: ConnectionSender) -> Self {
-        session.connections().push(sender.clone());
-        Self { session, sender }
-    }
-}
-
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         let sender = &self.sender;
@@ -153,9 +150,11 @@
 
     /// Accepts connections until `stop` fires, which also closes the open ones.
     pub async fn serve(self, listener: TcpListener, stop: CancellationToken) {
+        let mut ticks = TimerService.subscribe(EXPIRY_INTERVAL);
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
+                tick = ticks.next() => self.remove_expired(tick.now),
                 accepted = listener.accept() => self.accept(accepted, &stop).await,
             }
         }
@@ -191,14 +190,14 @@
         let Some(from) = self.handshake(&mut reader, &sender).await? else {
             return Ok(());
         };
-        let session = self.session(from);
-        let _guard = ConnectionGuard::new(Arc::clone(&session), sender.clone());
+        let guard = self.register(from, &sender);
+        let session = &guard.session;
         loop {
             let Ok(message) = timeout(IDLE_TIMEOUT, reader.next()).await else {
                 return Ok(());
             };
             match message? {
-                Some(message) => self.handle_message(message, &session, &sender).await,
+                Some(message) => self.handle_message(message, session, &sender).await,
                 None => return Ok(()),
             }
         }
@@ -236,9 +235,32 @@
         Ok(accepted.then_some(from))
     }
 
-    fn session(&self, entry: Incarnation) -> Arc<EntrySession> {
+    /// Registers a connection at the session of its entry node.
+    ///
+    /// The sessions stay locked meanwhile, so that a session is not removed between the
+    /// two steps: a second one would not know what has run.
+    fn register(&self, entry: Incarnation, sender: &ConnectionSender) -> ConnectionGuard {
+        let mut sessions = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
+        let session = Arc::clone(sessions.entry(entry).or_default());
+        session.connections().push(sender.clone());
+        ConnectionGuard {
+            session,
+            sender: sender.clone(),
+        }
+    }
+
+    /// Removes results that are kept no longer, and sessions without connections or
+    /// requests. Without this, what was kept for an entry node that has ended would be
+    /// kept for good.
+    fn remove_expired(&self, now: Instant) {
         let mut sessions = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(sessions.entry(entry).or_default())
+        sessions.retain(|_entry, session| {
+            let is_empty = session.with_inbound(|inbound| {
+                inbound.remove_expired(now);
+                inbound.is_empty()
+            });
+            !(is_empty && session.connections().is_empty())
+        });
     }
 
     /// Removes the sessions of entry nodes that have ended, which are those for
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -2,6 +2,7 @@
 //! this process has allocated, so they run one at a time in a program of their own.
 
 mod counting_allocator;
+mod ended_peers;
 #[path = "../testsuite/upstream_call.rs"]
 mod upstream_call;
 
