--- a/tests/testsuite/fleet_configuration.rs
+++ b/tests/testsuite/fleet_configuration.rs
@@ -284,6 +284,15 @@
         self.report(number, peers, true);
     }
 
+    /// Ends a share of the sidecars, which still count as live at the others.
+    fn end_share(&mut self, share: f64) {
+        for number in (0..SIDECARS).filter(|number| *number != FIRST_READER) {
+            if self.random.random::<f64>() < share {
+                self.sidecars[number].is_alive = false;
+            }
+        }
+    }
+
     /// Lets the sidecars that still can read the new configuration in the store.
     fn acknowledge(&mut self, readers: impl IntoIterator<Item = usize>) {
         for number in readers {
@@ -322,3 +331,22 @@
         );
     }
 }
+
+/// Guards against offers that are lost with the sidecars to which they were made: a lost
+/// VM counts as live for three report intervals, which are 10.8 s here.
+#[test]
+fn a_configuration_reaches_a_large_fleet_in_time_while_a_third_of_it_has_just_been_lost() {
+    for seed in 1..=5 {
+        let mut fleet = SimulatedFleet::new(seed);
+        fleet.end_share(0.35);
+
+        fleet.acknowledge([FIRST_READER]);
+
+        let late = fleet.late();
+        assert_eq!(
+            late, 0,
+            "seed {seed}, {} fetches timed out",
+            fleet.timed_out
+        );
+    }
+}
