--- a/src/sidecar/fleet.rs
+++ b/src/sidecar/fleet.rs
@@ -37,7 +37,7 @@
 
 /// Number of sidecars that poll the operator's topic for the fleet: one, and a
 /// second one for when the first is cut off from the store.
-pub const WATCHER_COUNT: usize = 2;
+const WATCHER_COUNT: usize = 2;
 
 /// Returns the interval between status reports of a sidecar that knows this number of
 /// other members.
@@ -105,9 +105,9 @@
     pub fleet_read_request: Notify,
     /// Notified to fetch the state of a peer that knows more, at once.
     pub catch_up_request: Notify,
-    /// Notified to send a status report to some peers at once, because this sidecar
-    /// has caught up and can serve others that are behind.
-    pub report_to_some: Notify,
+    /// Notified to offer the state to some peers at once, because this sidecar has
+    /// caught up.
+    pub offer_state: Notify,
     /// Notified to send a status report to all peers at once.
     pub report_now: Notify,
     /// Peers that may not know this sidecar and get a report at once.
@@ -136,7 +136,7 @@
             operator_read_request: Notify::new(),
             fleet_read_request: Notify::new(),
             catch_up_request: Notify::new(),
-            report_to_some: Notify::new(),
+            offer_state: Notify::new(),
             report_now: Notify::new(),
             introductions: Mutex::default(),
             introduce_now: Notify::new(),
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -319,7 +319,7 @@
         Ok(Some(encoded)) => match fleet.install(&encoded) {
             Ok(()) => {
                 log::info!(peer = &*peer.node; "fleet: caught up from a peer");
-                fleet.report_to_some.notify_one();
+                fleet.offer_state.notify_one();
             }
             Err(error) => {
                 log::warn!(peer = &*peer.node, error:% = error; "fleet: cannot decode a peer's state");
--- a/src/sidecar/gossip.rs
+++ b/src/sidecar/gossip.rs
@@ -39,7 +39,7 @@
     /// All peers.
     All,
     /// [`OFFER_FANOUT`] random peers, to which the state is offered.
-    Some,
+    Offer,
     /// Those that may not know this sidecar.
     Introductions,
 }
@@ -63,7 +63,8 @@
     /// Sends reports until the process ends: to all peers at
     /// [`FleetState::report_interval`], early when the upstream or the shutdown state
     /// changes or [`FleetState::report_now`] is notified, to some peers when the
-    /// configuration changes or this sidecar has caught up, and to single peers that may not know this sidecar.
+    /// configuration changes or this sidecar has caught up, with an offer of its state,
+    /// and to single peers that may not know this sidecar.
     pub async fn run(self) {
         let mut sequence = 0;
         let mut upstream = self.registry.subscribe();
@@ -76,8 +77,8 @@
                 () = self.fleet.report_now.notified() => ReportScope::All,
                 Ok(()) = upstream.changed() => ReportScope::All,
                 Ok(()) = leaving.changed() => ReportScope::All,
-                Ok(()) = routes.changed() => ReportScope::Some,
-                () = self.fleet.report_to_some.notified() => ReportScope::Some,
+                Ok(()) = routes.changed() => ReportScope::Offer,
+                () = self.fleet.offer_state.notified() => ReportScope::Offer,
                 () = self.fleet.introduce_now.notified() => ReportScope::Introductions,
             };
             sequence += 1;
@@ -108,13 +109,13 @@
             ..short.clone()
         };
         let datagram = |report| match scope {
-            ReportScope::Some => PeerDatagram::Offer(Box::new(report)),
+            ReportScope::Offer => PeerDatagram::Offer(Box::new(report)),
             ReportScope::All | ReportScope::Introductions => PeerDatagram::Report(Box::new(report)),
         };
         let (short, long) = (datagram(short), datagram(long));
         let recipients = match scope {
             ReportScope::All => self.recipients(sequence),
-            ReportScope::Some => {
+            ReportScope::Offer => {
                 let mut all = self.recipients(sequence);
                 all.shuffle(&mut rand::rng());
                 all.truncate(OFFER_FANOUT);
