admission: do not start what may run into the end of a process

Callers got 502 for requests that an upstream was working on, when its sidecar ended (LOST).

Its queue starts a request if an average one of its kind would end in time. Of those that are started in the last moments, the longer half is cut: a lookup of 0.12 s in the mean was started 0.14 s before the end.

The queue now also measures how much single requests of a kind differ from the mean, and counts with three mean deviations on top. What might be cut is refused as not run, so that its caller can come back.

--- a/src/admission/deadline_queue.rs
+++ b/src/admission/deadline_queue.rs
@@ -19,7 +19,8 @@
 //!   of after seconds.
 //! * A process that shuts down while requests that came through it wait: their
 //!   responses are lost once it has ended, so such a request starts only if it is
-//!   expected to end before, and is refused as soon as its turn would come too late.
+//!   expected to end before, also if it takes longer than on average, and is refused as
+//!   soon as its turn would come too late.
 //! * More requests than the rate that the upstream accepts: starts are spaced
 //!   out ([`StartPacer`]). Each request then counts as if it used its slot at
 //!   least for the time after which the limit lets that slot start another one,
@@ -40,6 +41,10 @@
 /// Each sample has a weight of 1 / 8 in the smoothed service time of its kind.
 const KIND_SAMPLE_DIVISOR: u32 = 8;
 
+/// A request is expected to take at most this many mean deviations longer than its kind
+/// does on average, which few exceed.
+const MAX_DEVIATIONS: u32 = 3;
+
 /// Shortest and longest `retry_after` of a refusal.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_secs(3));
@@ -63,6 +68,8 @@
     rank: u8,
     /// Smoothed service time; none before the first sample.
     service: Option<Duration>,
+    /// Smoothed absolute difference between the service time and single samples of it.
+    deviation: Duration,
     /// Slot time requested since the last sample.
     requested: Duration,
     /// Smoothed number of slots that the kind would keep busy.
@@ -182,6 +189,7 @@
                 name: name.into(),
                 rank,
                 service: None,
+                deviation: Duration::ZERO,
                 requested: Duration::ZERO,
                 offered: 0.0,
             });
@@ -362,6 +370,7 @@
         if let Some(held) = held {
             self.service = smooth(self.service, held, SERVICE_SAMPLE_DIVISOR);
             let known = kind.service.unwrap_or(held);
+            kind.deviation = smooth(kind.deviation, held.abs_diff(known), KIND_SAMPLE_DIVISOR);
             kind.service = Some(smooth(known, held, KIND_SAMPLE_DIVISOR));
         }
     }
@@ -394,12 +403,13 @@
 
     /// Returns whether the response to a request would be lost if it started at `start`.
     /// Counts with the longer of the service times that were expected on arrival and are
-    /// expected now: a request that runs into the end of a process is broken off.
+    /// expected now, and with how much single requests differ from it: a request that
+    /// runs into the end of a process is broken off.
     fn is_cut(&self, entry: &WaitingRequest<T>, start: Duration) -> bool {
-        let known = self.kinds[entry.request.kind].service.unwrap_or_default();
-        entry
-            .ends_by
-            .is_some_and(|end| start + entry.service.max(known) > end)
+        let kind = &self.kinds[entry.request.kind];
+        let expected = entry.service.max(kind.service.unwrap_or_default());
+        let longest = expected + kind.deviation * MAX_DEVIATIONS;
+        entry.ends_by.is_some_and(|end| start + longest > end)
     }
 
     /// Returns the wait of a request behind `count` others that need `work`, if all
--- a/tests/testsuite/shutdown_replay.rs
+++ b/tests/testsuite/shutdown_replay.rs
@@ -112,3 +112,58 @@
         assert!(told.served + SLOTS as usize >= capacity, "{told:?}");
     }
 }
+
+/// Interval of requests that arrive until the process ends, fewer than the slots serve.
+const ARRIVAL_INTERVAL: u64 = 80;
+
+/// Plays the last seconds of a process that cannot hand over its keys: requests arrive
+/// until it ends, with service times of a quarter to seven quarters of the mean.
+fn replay_arrivals(seed: u64) -> ReplayResults {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut queue = DeadlineQueue::new();
+    queue.set_slots(SLOTS);
+    let kind = queue.register_kind("lookup", 0);
+    // When each running request ends, and its service time.
+    let mut running: Vec<(u64, u64)> = Vec::new();
+    let mut results = ReplayResults::default();
+    for now in 0..END + EXIT_MARGIN {
+        for (_end, service) in running.extract_if(.., |(end, _service)| *end <= now) {
+            results.served += 1;
+            queue.finish(kind, Some(ms(service)));
+        }
+        if now % ARRIVAL_INTERVAL == 0 && now < END {
+            let request = QueuedRequest {
+                kind,
+                target: ms(now + DEADLINE),
+                deadline: ms(now + DEADLINE),
+            };
+            let ticket = queue.offer(ms(now), request, ()).expect("room");
+            queue.end_by(ticket, ms(END));
+        }
+        if now % MAINTENANCE_INTERVAL == 0 {
+            let refused = queue.refuse_infeasible(ms(now)).len();
+            results.refused_at.extend(std::iter::repeat_n(now, refused));
+        }
+        while queue.start_next(ms(now)).is_some() {
+            let service = rng.random_range(SERVICE / 4..SERVICE * 7 / 4);
+            running.push((now + service, service));
+        }
+    }
+    results.cut = running.len() + queue.waiting();
+    results
+}
+
+/// Guards against requests that an ending process starts because an average one would
+/// end in time, and cuts because they take longer.
+#[test]
+fn requests_of_different_length_are_not_cut_by_the_end_of_a_process() {
+    let results: Vec<ReplayResults> = (0..20).map(replay_arrivals).collect();
+
+    let cut: usize = results.iter().map(|result| result.cut).sum();
+    let served: usize = results.iter().map(|result| result.served).sum();
+    assert_eq!(cut, 0, "of {served}");
+    // Nobody is refused while there is time for three average requests.
+    let early = END - 3 * SERVICE;
+    let is_early = |result: &ReplayResults| result.refused_at.iter().any(|at| *at < early);
+    assert!(!results.iter().any(is_early), "{results:?}");
+}
