admission: tell the queue of known ends before a request can start

A request started at 24.692 and was cut at 24.721.

Cause: a request that finds a free slot starts as soon as it is added to the queue. The queue was told when processes end only after that, so at an idle upstream the end counted for nothing.

A request is now added together with the ends that are known. One that cannot end before stays waiting and is refused, as not run, within 50 ms.

a_request_that_cannot_end_before_a_process_does_not_take_a_free_slot fails with the end ignored: 1 request runs.

--- a/src/admission/slot_queue.rs
+++ b/src/admission/slot_queue.rs
@@ -152,15 +152,21 @@
     ///
     /// Returns the reason if the request is refused; it has not run.
     pub async fn acquire(&self, demand: SlotDemand<'_>) -> Result<SlotGuard, QueueRefusal> {
-        self.enqueue(demand)?.granted().await
+        self.enqueue(demand, None)?.granted().await
     }
 
-    /// Adds a request to the queue. Dropping the result removes it.
+    /// Adds a request to the queue. Dropping the result removes it. `ends_by` is when a
+    /// process ends without which the response is lost, if that is known: a request that
+    /// cannot end before does not start, even if a slot is free.
     ///
     /// # Errors
     ///
     /// Returns the reason if the request is refused at once; it has not run.
-    pub fn enqueue(&self, demand: SlotDemand<'_>) -> Result<QueuedSlot, QueueRefusal> {
+    pub fn enqueue(
+        &self,
+        demand: SlotDemand<'_>,
+        ends_by: Option<Instant>,
+    ) -> Result<QueuedSlot, QueueRefusal> {
         let (reply, response) = oneshot::channel();
         let offered = {
             let mut state = self.lock();
@@ -170,7 +176,11 @@
                 target: self.since_start(demand.target),
                 deadline: self.since_start(demand.deadline),
             };
-            state.queue.offer(self.start.elapsed(), request, reply)
+            let offered = state.queue.offer(self.start.elapsed(), request, reply);
+            if let (Ok(ticket), Some(end)) = (&offered, ends_by) {
+                state.queue.end_by(*ticket, self.since_start(end));
+            }
+            offered
         };
         let ticket = offered.map_err(|(_reply, refusal)| refusal)?;
         self.start_waiting();
--- a/src/sidecar/owner.rs
+++ b/src/sidecar/owner.rs
@@ -203,11 +203,13 @@
         timing: RequestTiming,
         entry_end: &ProcessEnd,
     ) -> Result<SlotGuard, QueueRefusal> {
+        let known_ends = [self.end.get(), entry_end.get()];
         let mut queued = {
             let demand = self.demand(request, timing);
-            self.slots.enqueue(demand)?
+            let ends_by = known_ends.into_iter().flatten().min();
+            self.slots.enqueue(demand, ends_by)?
         };
-        let (mut knows_own, mut knows_entry) = (false, false);
+        let [mut knows_own, mut knows_entry] = known_ends.map(|end| end.is_some());
         loop {
             tokio::select! {
                 biased;
--- a/tests/testsuite/slot_queue.rs
+++ b/tests/testsuite/slot_queue.rs
@@ -69,3 +69,19 @@
     let refusal = waiting.await.expect("no panic").expect_err("refused");
     assert_eq!(refusal.kind, ErrorKind::Draining);
 }
+
+/// Guards against requests that start at once at an idle upstream, although a process
+/// ends before they can, and are cut.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_cannot_end_before_a_process_does_not_take_a_free_slot() {
+    let queue = queue(1);
+    let soon = Instant::now() + Duration::from_millis(1);
+
+    let mut queued = queue.enqueue(demand(0), Some(soon)).expect("room");
+    let running = queue.gauge().running;
+    queue.tick(Duration::from_millis(50));
+    let refused = queued.granted().await;
+
+    assert_eq!(running, 0);
+    assert!(refused.is_err(), "{refused:?}");
+}
