--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod capped;
 mod lives;
 mod partial;
 mod uploads;
@@ -26,6 +27,7 @@
 
 pub fn play(case: &str, places: &Places, record: &Arc<Record>, trouble: bool) -> Verdict {
     match case {
+        "capped" => capped::play(places, record, trouble),
         "lives" => lives::play(places, record, trouble),
         "partial" => partial::play(places, record, trouble),
         "uploads" => uploads::play(places, record, trouble),
@@ -49,6 +51,7 @@
         heartbeat: HEARTBEAT,
         slots: 18,
         sharded,
+        max_connections: 130,
         behaviour: Arc::new(behaviour),
     }
 }
--- a/review/standin-2/src/endpoint.rs
+++ b/review/standin-2/src/endpoint.rs
@@ -12,6 +12,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -52,6 +53,9 @@
     pub heartbeat: Duration,
     pub slots: u32,
     pub sharded: bool,
+    /// Most connections that it accepts at the same time. Beyond that its port is
+    /// closed, so that further ones are reset.
+    pub max_connections: usize,
     pub behaviour: Arc<BehaviourOf>,
 }
 
@@ -79,12 +83,12 @@
     born: u64,
     ended: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
+    open: AtomicUsize,
     keys: Mutex<KeyState>,
     work_ended: Condvar,
     handovers: AtomicU64,
     /// When the next announcement is sent.
     next_beat: Mutex<Instant>,
-    acknowledged_beats: AtomicU64,
 }
 
 fn number(body: &str, name: &str) -> Option<u64> {
@@ -113,6 +117,7 @@
             born: born.as_millis() as u64,
             ended: AtomicBool::new(false),
             streams: Mutex::default(),
+            open: AtomicUsize::new(0),
             keys: Mutex::new(KeyState {
                 held: Vec::new(),
                 fences: vec![0; 1 << 16],
@@ -121,7 +126,6 @@
             work_ended: Condvar::new(),
             handovers: AtomicU64::new(0),
             next_beat: Mutex::new(Instant::now() + first_beat),
-            acknowledged_beats: AtomicU64::new(0),
         });
         let name = &endpoint.settings.instance;
         endpoint
@@ -152,22 +156,16 @@
     }
 
     /// Returns the time until the next announcement.
-    pub fn until_beat(&self) -> Duration {
+    fn until_beat(&self) -> Duration {
         let next = *self.next_beat.lock().unwrap();
         next.saturating_duration_since(Instant::now())
     }
 
-    pub fn acknowledged_beats(&self) -> u64 {
-        self.acknowledged_beats.load(Ordering::SeqCst)
-    }
-
-    /// Returns the number of keys held.
-    pub fn held_keys(&self) -> u32 {
+    /// Returns the number of ranges held.
+    pub fn held_ranges(&self) -> usize {
         let keys = self.keys.lock().unwrap();
         let now = Instant::now();
-        let held = keys.held.iter().filter(|held| held.until > now);
-        held.map(|held| u32::from(held.last) + 1 - u32::from(held.first))
-            .sum()
+        keys.held.iter().filter(|held| held.until > now).count()
     }
 
     fn announce(&self) {
@@ -192,31 +190,55 @@
             let line = format!("POST {}{}", name_of("heartbeat"), settings.instance);
             let headers = [("Host", "control"), ("Content-Type", "application/json")];
             let limit = Duration::from_secs(1);
-            let answer = http::call(settings.control, &line, &headers, body.as_bytes(), limit);
-            if answer.is_ok_and(|answer| answer.status == 200) {
-                self.acknowledged_beats.fetch_add(1, Ordering::SeqCst);
-            }
+            // A sidecar that is down misses the announcement.
+            let _ = http::call(settings.control, &line, &headers, body.as_bytes(), limit);
         }
     }
 
     fn accept(self: &Arc<Self>, listener: TcpListener) {
+        let settings = &self.settings;
+        let mut listener = Some(listener);
         while !self.has_ended() {
-            match listener.accept() {
-                Ok((stream, _from)) => {
-                    let _ = stream.set_nonblocking(false);
-                    let _ = stream.set_nodelay(true);
-                    let Ok(copy) = stream.try_clone() else {
-                        continue;
-                    };
-                    self.streams.lock().unwrap().push(copy);
-                    let serving = Arc::clone(self);
-                    std::thread::spawn(move || serving.serve(stream));
+            let count = self.open.load(Ordering::SeqCst);
+            if count >= settings.max_connections {
+                if listener.take().is_some() {
+                    let name = &settings.instance;
+                    let text = format!("{name} has {count} connections and resets further ones");
+                    self.ledger.record.line(&text);
+                }
+                std::thread::sleep(Duration::from_micros(200));
+                continue;
+            }
+            let Some(open) = &listener else {
+                listener = TcpListener::bind(settings.address).ok();
+                if let Some(listener) = &listener {
+                    listener.set_nonblocking(true).unwrap();
                 }
-                Err(_) => std::thread::sleep(Duration::from_millis(1)),
+                continue;
+            };
+            match open.accept() {
+                Ok((stream, _from)) => self.begin_connection(stream),
+                Err(_) => std::thread::sleep(Duration::from_micros(500)),
             }
         }
     }
 
+    fn begin_connection(self: &Arc<Self>, stream: TcpStream) {
+        let _ = stream.set_nonblocking(false);
+        let _ = stream.set_nodelay(true);
+        let Ok(copy) = stream.try_clone() else {
+            return;
+        };
+        self.streams.lock().unwrap().push(copy);
+        self.open.fetch_add(1, Ordering::SeqCst);
+        let serving = Arc::clone(self);
+        std::thread::spawn(move || {
+            let ended = Arc::clone(&serving);
+            serving.serve(stream);
+            ended.open.fetch_sub(1, Ordering::SeqCst);
+        });
+    }
+
     fn serve(self: Arc<Self>, mut stream: TcpStream) {
         let Ok(copy) = stream.try_clone() else { return };
         let mut reader = BufReader::new(copy);
