--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod capped;
 mod lives;
 mod partial;
+mod replaced;
 mod uploads;
 
 use std::sync::Arc;
@@ -30,6 +31,7 @@
         "capped" => capped::play(places, record, trouble),
         "lives" => lives::play(places, record, trouble),
         "partial" => partial::play(places, record, trouble),
+        "replaced" => replaced::play(places, record, trouble),
         "uploads" => uploads::play(places, record, trouble),
         _ => Verdict::CannotRun(format!("no case `{case}`")),
     }
