--- a/review/standin-2/src/endpoint.rs
+++ b/review/standin-2/src/endpoint.rs
@@ -337,7 +337,7 @@
         let id = request.header("request-id").to_owned();
         let refuse = |status| {
             let headers = [
-                ("Not-Executed", "1"),
+                (name_of("not-executed"), "1"),
                 ("Request-Id", &*id),
                 ("Instance-Id", &**name),
             ];
