review: case 9 counts kept connections only

The rule speaks of requests from kept connections that are closed. The check also counted those that were the first on theirs, or that ran into their deadline.

--- a/review/standin-2/src/cases/uploads.rs
+++ b/review/standin-2/src/cases/uploads.rs
@@ -164,7 +164,7 @@
         lost.extend(
             ended
                 .iter()
-                .filter(|(_, ended)| ended.is_sent && ended.status.is_none())
+                .filter(|(_, ended)| ended.is_sent && ended.is_kept && ended.is_closed)
                 .cloned(),
         );
         let answered = ended
--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -1,6 +1,7 @@
 //! Requesters.
 
 use std::io::BufReader;
+use std::io::ErrorKind;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -36,6 +37,10 @@
     pub status: Option<u16>,
     /// Whether the request was sent completely.
     pub is_sent: bool,
+    /// Whether its connection had carried a request before.
+    pub is_kept: bool,
+    /// Whether the other side closed the connection without a complete answer.
+    pub is_closed: bool,
     pub body: Vec<u8>,
     pub error: String,
     /// Time from its sending to its end.
@@ -69,12 +74,16 @@
             id,
             status: None,
             is_sent: false,
+            is_kept: self.stream.is_some(),
+            is_closed: false,
             body: Vec::new(),
             error: String::new(),
             took: Duration::ZERO,
         };
         let sent = Instant::now();
         if let Err(error) = self.exchange(call, &mut ended) {
+            let kind = error.kind();
+            ended.is_closed = !matches!(kind, ErrorKind::WouldBlock | ErrorKind::TimedOut);
             ended.error = error.to_string();
             self.stream = None;
         }
