http_server: one HTTP front for winchd and the sidecar

Cause: the server that closes connections without progress, the watch of connections and the reader of bodies within a budget stood in `platform/`, so `winchd` could not use them, though none of them knows the platform.

Change: they are in the product now: `http_server` (server, watched_stream, callers, metrics) and `held_bytes::body`. `BodyReader` reads any body, not only one of hyper's server. The options of sockets are in `base::sockets`. `platform/` translates the operator's limits at their edge.

Result: the tests of `platform/tests/clients` pass as before.

--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -1,4 +1,4 @@
-//! Identifiers, hashing, clocks, document validation and error kinds, shared by
+//! Identifiers, hashing, clocks, sockets, document validation and error kinds, shared by
 //! all other modules.
 
 pub mod boot_clock;
@@ -11,4 +11,5 @@
 pub mod milliseconds;
 pub mod process_end;
 pub mod shared_bytes;
+pub mod sockets;
 pub mod timer;
--- a/platform/src/body.rs
+++ b/src/held_bytes/body.rs
@@ -5,16 +5,16 @@
 
 use std::time::Duration;
 
-use buckthornwinch::held_bytes::budget::ByteBudget;
-use buckthornwinch::held_bytes::budget::ByteLease;
-use buckthornwinch::held_bytes::budget::NoRoom;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Body;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use super::budget::ByteBudget;
+use super::budget::ByteLease;
+use super::budget::NoRoom;
+
 /// Size of the blocks in which a body is held until its end. Growing one buffer
 /// instead would take up to three times the bytes of the body while it is copied.
 const BLOCK_BYTES: usize = 64 * 1024;
@@ -25,8 +25,8 @@
 /// Why a body was not read to its end.
 #[derive(Debug)]
 pub enum BodyError {
-    /// The connection failed, or the other side broke off.
-    Broken(hyper::Error),
+    /// The connection failed, or the other side broke off: why.
+    Broken(Box<str>),
     /// The body exceeded its limit.
     TooLarge,
     /// There was no room for the body in time.
@@ -106,7 +106,10 @@
     ///
     /// Fails if the other side breaks off, a limit is exceeded or there is no room in
     /// time. The connection then still carries the rest of the body.
-    pub async fn read(&self, mut body: Incoming) -> Result<Bytes, BodyError> {
+    pub async fn read<B>(&self, mut body: B) -> Result<Bytes, BodyError>
+    where
+        B: Body<Data = Bytes, Error: std::fmt::Display> + Unpin,
+    {
         let mut room = RoomClaim::new(self.budget.lease());
         if let Some(size) = body.size_hint().exact() {
             let size = usize::try_from(size).unwrap_or(usize::MAX);
@@ -136,9 +139,13 @@
 }
 
 /// Returns the next data of a body; `None` at its end.
-async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, BodyError> {
+async fn next_data<B>(body: &mut B) -> Result<Option<Bytes>, BodyError>
+where
+    B: Body<Data = Bytes, Error: std::fmt::Display> + Unpin,
+{
     while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() {
+        let frame = frame.map_err(|error| BodyError::Broken(error.to_string().into()))?;
+        if let Ok(data) = frame.into_data() {
             return Ok(Some(data));
         }
     }
--- a/src/sidecar/callers.rs
+++ b/src/http_server/callers.rs
@@ -5,12 +5,14 @@
 use std::sync::atomic::Ordering;
 
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// The connections of callers of a process. Clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct CallerConnections {
     closing: CancellationToken,
     answering: Arc<AtomicU32>,
+    open: TaskTracker,
 }
 
 impl CallerConnections {
@@ -25,6 +27,18 @@
         &self.closing
     }
 
+    /// Serves an open connection on a task of its own.
+    pub(super) fn spawn(&self, connection: impl Future<Output = ()> + Send + 'static) {
+        self.open.spawn(connection);
+    }
+
+    /// Waits until no connection is open. No effect before [`Self::close`].
+    pub async fn wait_closed(&self) {
+        self.closing.cancelled().await;
+        self.open.close();
+        self.open.wait().await;
+    }
+
     /// Counts a connection on which a request has arrived, until the result is dropped.
     pub fn count(&self) -> AnsweringGuard {
         self.answering.fetch_add(1, Ordering::Relaxed);
--- a/platform/src/server.rs
+++ b/src/http_server/server.rs
@@ -4,16 +4,8 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
-use buckthornwinch::base::timer::TimerService;
-use buckthornwinch::held_bytes::budget::ByteBudget;
-use buckthornwinch::held_bytes::budget::ByteLease;
-use buckthornwinch::held_bytes::connections::CloseCause;
-use buckthornwinch::held_bytes::connections::ConnectionPhase;
-use buckthornwinch::held_bytes::connections::OperatorTimeouts;
-use buckthornwinch::held_bytes::limits::CONNECTION_BYTES;
-use buckthornwinch::routes::configuration::CallerLimits;
-use buckthornwinch::sidecar::callers::CallerConnections;
-use buckthornwinch::sidecar::metrics::SidecarMetrics;
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -21,13 +13,25 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
 
-use crate::http::OutgoingBody;
-use crate::http::configure;
-use crate::watched_stream::ConnectionTable;
-use crate::watched_stream::ConnectionWatch;
-use crate::watched_stream::TableEntry;
-use crate::watched_stream::WatchedStream;
+use super::callers::CallerConnections;
+use super::metrics::ClosedConnections;
+use super::watched_stream::ConnectionTable;
+use super::watched_stream::ConnectionWatch;
+use super::watched_stream::TableEntry;
+use super::watched_stream::WatchedStream;
+use crate::base::sockets::detect_dead_peer;
+use crate::base::timer::TimerService;
+use crate::held_bytes::budget::ByteBudget;
+use crate::held_bytes::budget::ByteLease;
+use crate::held_bytes::connections::CloseCause;
+use crate::held_bytes::connections::ConnectionPhase;
+use crate::held_bytes::connections::OperatorTimeouts;
+use crate::held_bytes::limits::CONNECTION_BYTES;
+
+/// The body of a response.
+pub type OutgoingBody = Full<Bytes>;
 
 /// Largest head while the operator's limit is not known.
 const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
@@ -48,6 +52,15 @@
 /// Interval between checks of a listener's connections.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Limits on the clients of a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// Largest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// How long clients may take for a head, and be idle.
+    pub timeouts: OperatorTimeouts,
+}
+
 /// A handler of HTTP requests, shared by all connections of a listener.
 pub trait HttpHandler: Clone + Send + Sync + 'static {
     /// Responds to a request. The future is dropped if the client closes its
@@ -59,7 +72,7 @@
     ) -> impl Future<Output = Response<OutgoingBody>> + Send;
 
     /// Returns the operator's limits on the clients; `None` if there are none.
-    fn limits(&self) -> Option<CallerLimits> {
+    fn limits(&self) -> Option<ClientLimits> {
         None
     }
 }
@@ -72,27 +85,30 @@
     /// Holds the connections.
     pub budget: ByteBudget,
     /// Counts the connections that are closed.
-    pub metrics: SidecarMetrics,
+    pub closed_connections: ClosedConnections,
 }
 
-/// Accepts and serves `callers` until the process ends. Once they are to close,
-/// each is closed after its current request.
+/// Accepts and serves `callers` until the future is dropped; connections that are open
+/// then are served on. Once they are to close, each is closed after its current request.
 pub async fn serve<H: HttpHandler>(
     listener: TcpListener,
     handler: H,
     bounds: ListenerBounds,
     callers: CallerConnections,
 ) {
-    let table = ConnectionTable::new(bounds.metrics.closed_connections.clone());
+    let table = ConnectionTable::new(bounds.closed_connections.clone());
+    let ended = CancellationToken::new();
+    let _guard = ended.clone().drop_guard();
     tokio::spawn(close_overdue(
         handler.clone(),
         table.clone(),
         bounds.budget.clone(),
+        ended,
     ));
     loop {
         match listener.accept().await {
-            Ok((stream, _from)) => {
-                if let Err(error) = configure(&stream) {
+            Ok((stream, client)) => {
+                if let Err(error) = detect_dead_peer(&stream) {
                     log::debug!("http: cannot configure a connection: {error}");
                 }
                 let Some(lease) = make_room(&table, &bounds).await else {
@@ -100,9 +116,9 @@
                     table.count(CloseCause::Crowded);
                     continue;
                 };
-                let connection =
-                    serve_connection(stream, handler.clone(), table.add(), callers.clone());
-                tokio::spawn(async move {
+                let entry = table.add(client);
+                let connection = serve_connection(stream, handler.clone(), entry, callers.clone());
+                callers.spawn(async move {
                     connection.await;
                     drop(lease);
                 });
@@ -133,18 +149,19 @@
     Some(lease)
 }
 
-/// Closes the connections of a listener that make too little progress, until the process
-/// ends.
-async fn close_overdue<H: HttpHandler>(handler: H, table: ConnectionTable, budget: ByteBudget) {
+/// Closes the connections of a listener that make too little progress, until the
+/// listener has `ended` and none is open.
+async fn close_overdue<H: HttpHandler>(
+    handler: H,
+    table: ConnectionTable,
+    budget: ByteBudget,
+    ended: CancellationToken,
+) {
     let mut ticks = TimerService.subscribe(CHECK_INTERVAL);
-    loop {
+    while !(ended.is_cancelled() && table.is_empty()) {
         let now = ticks.next().await.now;
-        let timeouts = handler
-            .limits()
-            .map_or(DEFAULT_TIMEOUTS, |limits| OperatorTimeouts {
-                head: limits.header_timeout,
-                idle: limits.idle_timeout,
-            });
+        let limits = handler.limits();
+        let timeouts = limits.map_or(DEFAULT_TIMEOUTS, |limits| limits.timeouts);
         table.close_overdue(now, timeouts, budget.is_short(now));
     }
 }
--- a/platform/src/watched_stream.rs
+++ b/src/http_server/watched_stream.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::io::IoSlice;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -10,13 +11,6 @@
 use std::task::Context;
 use std::task::Poll;
 
-use buckthornwinch::base::collections::FastMap;
-use buckthornwinch::held_bytes::connections::CloseCause;
-use buckthornwinch::held_bytes::connections::ConnectionActivity;
-use buckthornwinch::held_bytes::connections::ConnectionPhase;
-use buckthornwinch::held_bytes::connections::OperatorTimeouts;
-use buckthornwinch::held_bytes::connections::choose_victim;
-use buckthornwinch::sidecar::metrics::ClosedConnections;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -25,21 +19,36 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::WaitForCancellationFuture;
 
+use super::metrics::ClosedConnections;
+use crate::base::collections::FastMap;
+use crate::held_bytes::connections::CloseCause;
+use crate::held_bytes::connections::ConnectionActivity;
+use crate::held_bytes::connections::ConnectionPhase;
+use crate::held_bytes::connections::OperatorTimeouts;
+use crate::held_bytes::connections::choose_victim;
+
 /// What one connection does, and whether it is to be closed. Clones share it.
 #[derive(Debug, Clone)]
 pub struct ConnectionWatch {
+    client: SocketAddr,
     activity: Arc<Mutex<ConnectionActivity>>,
     closing: CancellationToken,
 }
 
 impl ConnectionWatch {
-    fn new() -> Self {
+    fn new(client: SocketAddr) -> Self {
         Self {
+            client,
             activity: Arc::new(Mutex::new(ConnectionActivity::new(Instant::now()))),
             closing: CancellationToken::new(),
         }
     }
 
+    /// Returns the address of the client.
+    pub fn client(&self) -> SocketAddr {
+        self.client
+    }
+
     /// Records the begin of a phase.
     pub fn enter(&self, phase: ConnectionPhase) {
         self.activity().enter(phase, Instant::now());
@@ -99,9 +108,9 @@
         }
     }
 
-    /// Adds a connection that was just opened.
-    pub fn add(&self) -> TableEntry {
-        let watch = ConnectionWatch::new();
+    /// Adds a connection that `client` has just opened.
+    pub fn add(&self, client: SocketAddr) -> TableEntry {
+        let watch = ConnectionWatch::new(client);
         let mut state = self.lock();
         state.last_number += 1;
         let number = state.last_number;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,8 @@
 //! * [`delivery`]: stored outcomes, ownership check and dispatch to the upstream
 //!   at the owner.
 //! * [`upstream`]: announcements of upstreams and requests to them.
+//! * [`held_bytes`], [`http_server`]: bounds on what a process holds for others, and
+//!   the HTTP server that keeps to them.
 //! * [`operator`]: the operators' interface.
 //! * [`settings`]: the settings file of `winchd`.
 //! * [`telemetry`]: logs and metrics.
@@ -47,6 +49,7 @@
 pub mod handover;
 pub mod held_bytes;
 pub mod hotkeys;
+pub mod http_server;
 pub mod load_balancing;
 pub mod log;
 pub mod node;
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -12,7 +12,7 @@
 use prometheus::TextEncoder;
 
 use crate::held_bytes::budget::ByteBudget;
-use crate::held_bytes::connections::CloseCause;
+use crate::http_server::metrics::ClosedConnections;
 
 /// Upper bounds of the buckets of latency histograms.
 const LATENCY_BUCKETS_SECONDS: [f64; 12] = [
@@ -132,17 +132,6 @@
     }
 }
 
-/// Counts callers' connections that this process closed, by [`CloseCause`].
-#[derive(Debug, Clone)]
-pub struct ClosedConnections(IntCounterVec);
-
-impl ClosedConnections {
-    /// Counts a connection.
-    pub fn count(&self, cause: CloseCause) {
-        self.0.with_label_values(&[cause.slug()]).inc();
-    }
-}
-
 impl SidecarMetrics {
     /// Creates the metrics and registers them in a new registry.
     ///
@@ -292,10 +281,7 @@
     registry
         .register(Box::new(closed.clone()))
         .expect("registered once");
-    for cause in CloseCause::ALL {
-        closed.with_label_values(&[cause.slug()]);
-    }
-    ClosedConnections(closed)
+    ClosedConnections::new(closed)
 }
 
 fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -15,7 +15,6 @@
 //! * [`controller`]: acquires, serves and hands over key ranges.
 //! * [`reconcile`]: decides which change of the range map is due.
 //! * [`moves`]: tracks a planned move of ranges to other sidecars.
-//! * [`callers`]: the connections of callers, and which still get a response.
 //! * [`departures`]: remembers across restarts which upstreams leave.
 //! * [`evacuation`]: takes the local upstream out of service while its failure domain is
 //!   evacuated.
@@ -32,7 +31,6 @@
 //! appends and for the newest record of each key, so it needs no folded log,
 //! no log snapshots and no planner term.
 
-pub mod callers;
 mod cold_upstream;
 mod conditions;
 pub mod controller;
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -15,7 +15,6 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use super::callers::CallerConnections;
 use super::controller::EVENT_QUEUE_CAPACITY;
 use super::controller::HeartbeatPort;
 use super::controller::RangeController;
@@ -46,6 +45,7 @@
 use crate::base::ids::Incarnation;
 use crate::base::timer::TimerService;
 use crate::held_bytes::budget::ByteBudget;
+use crate::http_server::callers::CallerConnections;
 use crate::log::backoff::RetryBackoff;
 use crate::node::identity::next_incarnation;
 use crate::peers::message::MemberRecord;
