winchd: hold what callers send and read within a budget

What callers saw: a crowd of callers with large bodies of legal size took a `winchd` to hundreds of megabytes beyond what its VM has; readers that stopped kept every connection, and no ordinary caller got in for as long as they stayed.

Cause: each body was collected into one growing buffer of its own, up to `limits.max_body_bytes` on each of `limits.max_connections` connections; responses, bodies at the owner and results for repetitions were in no budget; a response had no time-out for its reader.

Change: `winchd` uses the front of the sidecar. Connections, bodies, messages between processes and responses lease their bytes from one budget, which follows from the new setting `limits.memory_bytes` (default 640 MB, which bears the default of 4,096 connections). A body without room is refused as `overloaded`, before it is passed on; connections without progress are closed, and at the limit the least useful one. Settings whose largest body or kept outcomes the memory does not bear are refused with the value that is allowed. New metrics show what is held, refused and closed.

Why it works: bytes are leased before they are read, and the lease ends with the last copy of the bytes, so no path has to give anything back.

What innocent callers lose: an idle connection is closed after a minute (it was the time limit for headers before), and a head has at most 16 KiB.

--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -1,29 +1,20 @@
 //! HTTP server for callers, with limits on connections, headers and bodies.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Buf;
 use bytes::Bytes;
-use bytes::BytesMut;
-use futures_util::Stream;
-use futures_util::StreamExt;
-use hyper::server::conn::http1;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
-use hyper_util::service::TowerToHyperService;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderMap;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
-use warp::Filter;
-use warp::http::HeaderMap;
-use warp::http::HeaderValue;
-use warp::http::Method;
 
 use super::dispatch::IncomingRequest;
 use super::dispatch::RequestDispatcher;
@@ -37,15 +28,35 @@
 use crate::delivery::message::RequestFailure;
 use crate::delivery::message::RequestResult;
 use crate::delivery::message::RoutedRequest;
+use crate::held_bytes::body::BodyError;
+use crate::held_bytes::body::BodyReader;
+use crate::held_bytes::budget::ByteBudget;
+use crate::held_bytes::connections::ConnectionPhase;
+use crate::held_bytes::connections::OperatorTimeouts;
+use crate::http_server::callers::CallerConnections;
+use crate::http_server::metrics::ClosedConnections;
+use crate::http_server::server::ClientLimits;
+use crate::http_server::server::HttpHandler;
+use crate::http_server::server::ListenerBounds;
+use crate::http_server::server::OutgoingBody;
+use crate::http_server::server::serve;
+use crate::http_server::watched_stream::ConnectionWatch;
 use crate::state::record::ChainKey;
 use crate::state::record::ChainSubject;
 use crate::transport::server::OwnerRequestHandler;
 
+/// Largest head of a request, in bytes.
+const MAX_HEADER_BYTES: usize = 16 * 1024;
+
+/// How long a connection may be idle.
+const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+
 /// Limits on callers' connections and requests.
 #[derive(Debug, Clone, Copy)]
 #[derive(bon::Builder)]
 pub struct EntryLimits {
-    /// Maximum number of open connections. Further ones wait to be accepted.
+    /// Maximum number of open connections. A further one takes the place of the least
+    /// useful one, or is closed if all are in use.
     pub max_connections: usize,
     /// Longest deadline that a caller may set.
     pub max_deadline: Duration,
@@ -66,147 +77,103 @@
 
 /// HTTP server for callers.
 #[derive(Debug, Clone)]
+#[derive(bon::Builder)]
 pub struct EntryServer<H, O> {
+    /// Sends requests to their owners.
     dispatcher: RequestDispatcher<H>,
+    /// Limits on callers' connections and requests.
     limits: EntryLimits,
+    /// Is told how requests ended.
     observer: O,
-}
-
-struct CallerRequest {
-    method: Method,
-    path: Box<str>,
-    headers: HeaderMap,
+    /// Holds connections and bodies.
+    budget: ByteBudget,
+    /// Counts the connections that are closed.
+    closed_connections: ClosedConnections,
 }
 
 impl<H: OwnerRequestHandler, O: RequestObserver> EntryServer<H, O> {
-    /// Creates a server that sends requests to `dispatcher` and reports their
-    /// results to `observer`.
-    pub fn new(dispatcher: RequestDispatcher<H>, limits: EntryLimits, observer: O) -> Self {
-        Self {
-            dispatcher,
-            limits,
-            observer,
-        }
-    }
-
     /// Accepts connections until `stop` fires, then waits until the open ones
     /// have finished their requests.
     pub async fn serve(self, listener: TcpListener, stop: CancellationToken) {
-        let permits = Arc::new(Semaphore::new(self.limits.max_connections));
-        let connections = TaskTracker::new();
-        loop {
-            let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-                break;
-            };
-            tokio::select! {
-                () = stop.cancelled() => break,
-                accepted = listener.accept() => match accepted {
-                    Ok((stream, from)) => {
-                        connections.spawn(self.clone().serve_connection(stream, from, permit, stop.clone()));
-                    }
-                    Err(error) => {
-                        log::warn!("entry: failed to accept a connection: {error}");
-                        tokio::time::sleep(Duration::from_millis(10)).await;
-                    }
-                },
-            }
-        }
-        drop(listener);
-        connections.close();
-        connections.wait().await;
-    }
-
-    async fn serve_connection(
-        self,
-        stream: TcpStream,
-        from: SocketAddr,
-        _permit: OwnedSemaphorePermit,
-        stop: CancellationToken,
-    ) {
-        drop(stream.set_nodelay(true));
-        let header_timeout = self.limits.header_timeout;
-        let service = TowerToHyperService::new(warp::service(self.routes(from)));
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(header_timeout)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
-        let ended = tokio::select! {
-            ended = connection.as_mut() => ended,
-            () = stop.cancelled() => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
+        let callers = CallerConnections::default();
+        let bounds = ListenerBounds {
+            connections: self.limits.max_connections,
+            budget: self.budget.clone(),
+            closed_connections: self.closed_connections.clone(),
         };
-        if let Err(error) = ended {
-            log::debug!("entry: closed the connection from {from}: {error}");
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = serve(listener, self, bounds, callers.clone()) => {}
         }
+        callers.close();
+        callers.wait_closed().await;
     }
 
-    fn routes(
-        self,
-        from: SocketAddr,
-    ) -> impl Filter<Extract = (CallerResponse,), Error = warp::Rejection> + Clone + Send + Sync + 'static
-    {
-        let query = warp::query::raw()
-            .map(|query| format!("?{query}"))
-            .or(warp::any().map(String::new))
-            .unify();
-        warp::method()
-            .and(warp::path::full())
-            .and(query)
-            .and(warp::header::headers_cloned())
-            .and(warp::body::stream())
-            .then(
-                move |method,
-                      path: warp::path::FullPath,
-                      query: String,
-                      mut headers: HeaderMap,
-                      body| {
-                    let server = self.clone();
-                    insert_default_caller(&mut headers, from);
-                    let request = CallerRequest {
-                        method,
-                        path: format!("{}{query}", path.as_str()).into(),
-                        headers,
-                    };
-                    async move { server.handle(request, body).await }
-                },
-            )
-    }
-
-    async fn handle<B: Buf>(
+    async fn answer(
         &self,
-        request: CallerRequest,
-        body: impl Stream<Item = Result<B, warp::Error>> + Send,
+        parts: Parts,
+        body: Incoming,
+        watch: &ConnectionWatch,
     ) -> CallerResponse {
         let started = tokio::time::Instant::now();
         let table = self.dispatcher.routes().load();
-        let head = match check_headers(&request.headers, &table, self.limits.max_deadline) {
+        let head = match check_headers(&parts.headers, &table, self.limits.max_deadline) {
             Ok(head) => head,
             Err(failure) => return self.refuse("", failure, started.elapsed()),
         };
         drop(table);
         let limit = self.limits.max_body_bytes.min(head.max_body_bytes);
-        let body = match timeout(self.limits.body_timeout, collect_body(body, limit)).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(failure)) => return self.refuse(&head.class, failure, started.elapsed()),
-            Err(_elapsed) => {
-                let failure =
-                    RequestFailure::new(ErrorKind::BodyTimeout, "the body did not arrive in time");
-                return self.refuse(&head.class, failure, started.elapsed());
+        let read = self.read_body(body, limit).await;
+        watch.enter(ConnectionPhase::Answering);
+        let body = match read {
+            Ok(body) => body,
+            Err(failure) => {
+                return closing(self.refuse(&head.class, failure, started.elapsed()));
             }
         };
         let class = head.class.clone();
         let dispatched = self
             .dispatcher
-            .dispatch(incoming_request(head, request, body))
+            .dispatch(incoming_request(head, &parts, body))
             .await;
         self.observer
             .observe(&class, &dispatched.result, started.elapsed());
         respond(dispatched.result, dispatched.owner.as_deref())
     }
 
+    /// Reads the body of a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is too large, comes too slowly or breaks off, or if there is no
+    /// room for it. The request has not run then.
+    async fn read_body(&self, body: Incoming, limit: usize) -> Result<Bytes, RequestFailure> {
+        let reader = BodyReader::new(limit, self.budget.clone());
+        let Ok(read) = timeout(self.limits.body_timeout, reader.read(body)).await else {
+            return Err(RequestFailure::new(
+                ErrorKind::BodyTimeout,
+                "the body did not arrive in time",
+            ));
+        };
+        read.map_err(|error| match error {
+            BodyError::TooLarge => RequestFailure::new(
+                ErrorKind::BodyTooLarge,
+                format!("the body exceeds {limit} bytes"),
+            ),
+            BodyError::NoRoom => {
+                self.budget.record_refusal("a request body");
+                RequestFailure::new(
+                    ErrorKind::Overloaded,
+                    "the process has no room for the body",
+                )
+            }
+            BodyError::Broken(reason) => RequestFailure::new(
+                ErrorKind::BodyTimeout,
+                format!("the body broke off: {reason}"),
+            ),
+        })
+    }
+
     fn refuse(&self, class: &str, failure: RequestFailure, latency: Duration) -> CallerResponse {
         let result = Err(failure);
         self.observer.observe(class, &result, latency);
@@ -214,6 +181,36 @@
     }
 }
 
+impl<H: OwnerRequestHandler, O: RequestObserver> HttpHandler for EntryServer<H, O> {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        watch: &ConnectionWatch,
+    ) -> Response<OutgoingBody> {
+        let (mut parts, body) = request.into_parts();
+        insert_default_caller(&mut parts.headers, watch.client());
+        self.answer(parts, body, watch).await.map(Full::new)
+    }
+
+    fn limits(&self) -> Option<ClientLimits> {
+        Some(ClientLimits {
+            header_bytes: MAX_HEADER_BYTES,
+            timeouts: OperatorTimeouts {
+                head: self.limits.header_timeout,
+                idle: IDLE_TIMEOUT,
+            },
+        })
+    }
+}
+
+/// Adds that the connection is closed after the response, since it still carries the
+/// rest of the request.
+fn closing(mut response: CallerResponse) -> CallerResponse {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 fn insert_default_caller(headers: &mut HeaderMap, from: SocketAddr) {
     if !headers.contains_key(headers::CALLER)
         && let Ok(value) = HeaderValue::from_str(&from.ip().to_string())
@@ -222,7 +219,8 @@
     }
 }
 
-fn incoming_request(head: RequestHead, request: CallerRequest, body: Bytes) -> IncomingRequest {
+fn incoming_request(head: RequestHead, parts: &Parts, body: Bytes) -> IncomingRequest {
+    let path = parts.uri.path_and_query();
     let routed = RoutedRequest {
         chain: ChainKey {
             service: head.service,
@@ -235,9 +233,9 @@
         idempotency_key: head.idempotency_key,
         attempt: head.attempt,
         caller: head.caller,
-        method: request.method.as_str().into(),
-        path: request.path,
-        headers: forwarded_headers(&request.headers),
+        method: parts.method.as_str().into(),
+        path: path.map_or("", |path| path.as_str()).into(),
+        headers: forwarded_headers(&parts.headers),
         body,
         stated: None,
         crashes: None,
@@ -247,27 +245,3 @@
         idempotent: head.idempotent,
     }
 }
-
-async fn collect_body<B: Buf>(
-    body: impl Stream<Item = Result<B, warp::Error>>,
-    limit: usize,
-) -> Result<Bytes, RequestFailure> {
-    let mut collected = BytesMut::new();
-    let mut body = std::pin::pin!(body);
-    while let Some(part) = body.next().await {
-        let mut part = part.map_err(|error| {
-            RequestFailure::new(
-                ErrorKind::BodyTimeout,
-                format!("the body broke off: {error}"),
-            )
-        })?;
-        if collected.len() + part.remaining() > limit {
-            return Err(RequestFailure::new(
-                ErrorKind::BodyTooLarge,
-                format!("the body exceeds {limit} bytes"),
-            ));
-        }
-        collected.extend_from_slice(&part.copy_to_bytes(part.remaining()));
-    }
-    Ok(collected.freeze())
-}
--- a/src/held_bytes/budget.rs
+++ b/src/held_bytes/budget.rs
@@ -16,7 +16,7 @@
 pub const SMALL_LEASE_BYTES: usize = 64 * 1024;
 
 /// Part of the limit that is reserved for small leases: one eighth.
-const RESERVE_DIVISOR: usize = 8;
+pub(super) const RESERVE_DIVISOR: usize = 8;
 
 /// How long a budget counts as short after it had no room.
 const SHORT_PERIOD: Duration = Duration::from_secs(1);
--- a/src/held_bytes/limits.rs
+++ b/src/held_bytes/limits.rs
@@ -1,5 +1,7 @@
 //! Derives the bounds of a process from the memory and descriptors that it may use.
 
+use super::budget::RESERVE_DIVISOR;
+
 /// Memory limit of a process whose settings name none, in bytes.
 const DEFAULT_MEMORY_BYTES: usize = 160_000_000;
 
@@ -55,7 +57,18 @@
     pub fn caller_connections(self) -> usize {
         let sockets = self.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
         let by_descriptors = sockets * CALLER_SOCKET_PERCENT / 100;
-        let by_memory = self.held_bytes() / 100 * CONNECTION_BUDGET_PERCENT / CONNECTION_BYTES;
-        by_descriptors.min(by_memory).max(1)
+        by_descriptors.min(self.connections_by_memory()).max(1)
+    }
+
+    /// Returns how many connections of callers the memory bears, at least one.
+    pub fn connections_by_memory(self) -> usize {
+        (self.held_bytes() / 100 * CONNECTION_BUDGET_PERCENT / CONNECTION_BYTES).max(1)
+    }
+
+    /// Returns how many bytes the largest leases may hold together. The rest is reserved
+    /// for small ones.
+    pub fn large_lease_bytes(self) -> usize {
+        let held = self.held_bytes();
+        held - held / RESERVE_DIVISOR
     }
 }
--- a/src/node/component_settings.rs
+++ b/src/node/component_settings.rs
@@ -23,8 +23,9 @@
 }
 
 pub(super) fn entry_limits(settings: &NodeSettings) -> EntryLimits {
+    let by_memory = settings.limits.process_limits().connections_by_memory();
     EntryLimits::builder()
-        .max_connections(settings.limits.max_connections as usize)
+        .max_connections(by_memory.min(settings.limits.max_connections as usize))
         .max_deadline(settings.limits.max_deadline)
         .max_body_bytes(settings.limits.max_body_bytes as usize)
         .header_timeout(settings.limits.header_timeout)
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -42,6 +42,7 @@
 use super::tasks::tick_leases;
 use super::tasks::update_classes;
 use crate::base::ids::Incarnation;
+use crate::base::process_end::ProcessEnd;
 use crate::base::timer::TimerService;
 use crate::delivery::owner::OwnerService;
 use crate::delivery::settings::OwnerSettings;
@@ -50,6 +51,7 @@
 use crate::handover::activity::ChainActivity;
 use crate::handover::coordinator::HandoverCoordinator;
 use crate::handover::coordinator::HandoverTick;
+use crate::held_bytes::budget::ByteBudget;
 use crate::log::follower::FollowerHandle;
 use crate::log::follower::start_follower;
 use crate::log::http::HttpLogService;
@@ -71,6 +73,7 @@
 use crate::state::retention::SnapshotPolicy;
 use crate::telemetry::metrics::MetricRegistry;
 use crate::transport::datagram::DatagramSocket;
+use crate::transport::link::EntryProcess;
 use crate::transport::server::PeerServer;
 use crate::upstream::announce::UpstreamRegistry;
 use crate::upstream::http::HttpUpstream;
@@ -86,6 +89,8 @@
     pub(super) settings: Arc<NodeSettings>,
     pub(super) own: Incarnation,
     pub(super) metrics: MetricRegistry,
+    /// Holds what this process keeps for callers, peers and the upstream.
+    pub(super) budget: ByteBudget,
     pub(super) inputs: watch::Receiver<NodeInputs>,
     pub(super) sender: NodeSender,
     /// Stops every component except the callers' interface.
@@ -115,11 +120,13 @@
         own: Incarnation,
         inputs: watch::Receiver<NodeInputs>,
         socket: &DatagramSocket,
+        budget: ByteBudget,
     ) -> Self {
         Self {
             settings,
             own,
             metrics: MetricRegistry::new(),
+            budget,
             sender: NodeSender::new(socket.clone(), inputs.clone()),
             inputs,
             stop: CancellationToken::new(),
@@ -192,7 +199,7 @@
             .max_outcomes(limits.outcome_entries as usize)
             .max_outcome_bytes(limits.outcome_bytes as usize)
             .build();
-        let upstream = HttpUpstream::new(MAX_RESPONSE_BYTES)?;
+        let upstream = HttpUpstream::new(MAX_RESPONSE_BYTES)?.with_budget(self.budget.clone());
         Ok(Arc::new(OwnerService::new(
             gate,
             upstream,
@@ -306,6 +313,7 @@
             .follower(log.follower.clone())
             .inputs(self.inputs.clone())
             .upstream(registry.subscribe())
+            .budget(self.budget.clone())
             .owner(move || OwnerStats {
                 load: owner.load(),
                 outcomes: owner.stored_outcomes(),
@@ -332,7 +340,7 @@
     }
 
     pub(super) fn serve_peers(&self, listener: TcpListener, handler: NodeHandler<NodeGate>) {
-        let peers = PeerServer::new(self.own, handler);
+        let peers = PeerServer::new(self.own, handler).with_budget(self.budget.clone());
         self.spawn(remove_ended_entries(self.inputs.clone(), peers.clone()));
         self.tasks.spawn(peers.serve(listener, self.stop.clone()));
     }
@@ -355,7 +363,10 @@
         owner: &Arc<NodeOwner>,
     ) -> EntryServer<NodeHandler<NodeGate>, EntryObserver> {
         let routes = RoutePublisher::default();
-        self.spawn(RouteUpdater::new(self.own, routes.clone()).run(self.inputs.clone()));
+        let links =
+            EntryProcess::new(self.own, ProcessEnd::default()).with_budget(self.budget.clone());
+        let routes_updater = RouteUpdater::new(self.own, links, routes.clone());
+        self.spawn(routes_updater.run(self.inputs.clone()));
         let observer = EntryObserver::new(self.metrics.clone());
         self.spawn(update_classes(
             self.inputs.clone(),
@@ -369,6 +380,12 @@
             .local(handler)
             .metrics(self.metrics.routing.clone())
             .build();
-        EntryServer::new(dispatcher, entry_limits(&self.settings), observer)
+        EntryServer::builder()
+            .dispatcher(dispatcher)
+            .limits(entry_limits(&self.settings))
+            .observer(observer)
+            .budget(self.budget.clone())
+            .closed_connections(self.metrics.memory.closed_connections.clone())
+            .build()
     }
 }
--- a/src/node/inputs.rs
+++ b/src/node/inputs.rs
@@ -7,7 +7,6 @@
 
 use crate::base::collections::FastMap;
 use crate::base::ids::Incarnation;
-use crate::base::process_end::ProcessEnd;
 use crate::ownership::view::OwnershipView;
 use crate::routing::table::RouteInputs;
 use crate::routing::table::RoutePublisher;
@@ -71,12 +70,12 @@
 }
 
 impl RouteUpdater {
-    /// Creates an updater of the process `own` that publishes its tables through
-    /// `publisher`.
-    pub fn new(own: Incarnation, publisher: RoutePublisher) -> Self {
+    /// Creates an updater of the process `own` that opens links of `entry` and publishes
+    /// its tables through `publisher`.
+    pub fn new(own: Incarnation, entry: EntryProcess, publisher: RoutePublisher) -> Self {
         Self {
             own,
-            entry: EntryProcess::new(own, ProcessEnd::default()),
+            entry,
             links: FastMap::default(),
             publisher,
         }
--- a/src/node/metrics_updater.rs
+++ b/src/node/metrics_updater.rs
@@ -9,6 +9,7 @@
 use crate::admission::load::OwnerLoad;
 use crate::base::ids::Incarnation;
 use crate::base::timer::TimerService;
+use crate::held_bytes::budget::ByteBudget;
 use crate::log::follower::FollowerHandle;
 use crate::log::metered::MeteredLog;
 use crate::log::service::LogService;
@@ -45,6 +46,7 @@
     follower: FollowerHandle,
     inputs: watch::Receiver<NodeInputs>,
     upstream: UpstreamWatch,
+    budget: ByteBudget,
     /// Returns the current stats of this process's owner service.
     owner: F,
 }
@@ -85,6 +87,7 @@
     async fn update(&self, previous: &mut PreviousValues) {
         let inputs = self.inputs.borrow().clone();
         self.update_upstream();
+        self.metrics.memory.update(&self.budget);
         self.update_state(&previous.inputs, &inputs);
         previous.inputs = inputs;
         let age = self.log.read_age().as_secs_f64();
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -20,6 +20,7 @@
 use super::tasks::report_load;
 use crate::base::timer::TimerService;
 use crate::handover::activity::ChainActivity;
+use crate::held_bytes::budget::ByteBudget;
 use crate::hotkeys::report::KeySampler;
 use crate::settings::NodeSettings;
 use crate::state::folded::FoldedState;
@@ -40,11 +41,12 @@
 /// Fails when a socket cannot be bound or a client cannot be created.
 pub async fn run_node(settings: NodeSettings, leave: CancellationToken) -> eyre::Result<()> {
     let settings = Arc::new(settings);
+    let budget = ByteBudget::new(settings.limits.process_limits().held_bytes());
     // The next incarnation starts from the state that this one folded, so that
     // it can route while the log is unavailable.
     let mut state = Arc::<FoldedState>::default();
     while !leave.is_cancelled() {
-        let process = NodeProcess::start(Arc::clone(&settings), &state).await?;
+        let process = NodeProcess::start(Arc::clone(&settings), &state, budget.clone()).await?;
         let inputs = process.context.inputs.clone();
         process.run(&leave).await;
         state = Arc::clone(&inputs.borrow().state);
@@ -70,13 +72,17 @@
 }
 
 impl NodeProcess {
-    async fn start(settings: Arc<NodeSettings>, state: &FoldedState) -> eyre::Result<Self> {
+    async fn start(
+        settings: Arc<NodeSettings>,
+        state: &FoldedState,
+        budget: ByteBudget,
+    ) -> eyre::Result<Self> {
         let own = new_incarnation();
         let listeners = NodeListeners::bind(&settings).await?;
         log::info!("node: {} starts as {own:x}", settings.node);
         let (inputs_sender, inputs) = watch::channel(NodeInputs::default());
         let (leaving, leaving_watch) = watch::channel(false);
-        let context = NodeContext::new(settings, own, inputs, &listeners.datagrams);
+        let context = NodeContext::new(settings, own, inputs, &listeners.datagrams, budget);
         let log = context.follow_log(state)?;
         let lease = context.start_lease();
         let states = log.follower.states();
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -23,6 +23,7 @@
     check_fields(location, SETTING_FIELDS, &tree, faults);
     check_addresses(location, settings, faults);
     check_lease(location, settings, faults);
+    check_memory(location, settings, faults);
 }
 
 fn check_addresses(location: &str, settings: &NodeSettings, faults: &mut Vec<DocumentFault>) {
@@ -69,6 +70,35 @@
     DocumentFault::field(location, path, Some(value), problem).with_allowed(allowed)
 }
 
+/// Checks that the memory bears a request with the largest body, which is held twice for a
+/// moment, beside kept outcomes and other requests.
+fn check_memory(location: &str, settings: &NodeSettings, faults: &mut Vec<DocumentFault>) {
+    let limits = &settings.limits;
+    let room = limits.process_limits().large_lease_bytes() as u64;
+    let shares = [
+        (
+            "limits.max_body_bytes",
+            u64::from(limits.max_body_bytes),
+            room / 4,
+        ),
+        ("limits.outcome_bytes", limits.outcome_bytes, room / 2),
+    ];
+    for (path, value, most) in shares {
+        if value > most {
+            let value = value.to_string().into();
+            faults.push(
+                DocumentFault::field(
+                    location,
+                    path,
+                    Some(value),
+                    "does not fit limits.memory_bytes",
+                )
+                .with_allowed(format!("at most {most}, or more limits.memory_bytes")),
+            );
+        }
+    }
+}
+
 fn check_lease(location: &str, settings: &NodeSettings, faults: &mut Vec<DocumentFault>) {
     let lease = &settings.lease;
     let mut require = |holds: bool, path: &str, value: u128, allowed: &str| {
--- a/src/settings/sections.rs
+++ b/src/settings/sections.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::base::milliseconds;
+use crate::held_bytes::limits::ProcessLimits;
 
 /// Addresses on which the process listens.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -125,6 +126,19 @@
     /// 16 MiB.
     #[builder(default = 16 * 1024 * 1024)]
     pub outcome_bytes: u64,
+    /// Memory that the process may use, in bytes. Default 640 MB.
+    #[builder(default = 640_000_000)]
+    pub memory_bytes: u64,
+}
+
+impl LimitSettings {
+    /// Returns the limits of the process from which its bounds follow.
+    pub fn process_limits(&self) -> ProcessLimits {
+        ProcessLimits {
+            memory_bytes: usize::try_from(self.memory_bytes).unwrap_or(usize::MAX),
+            ..ProcessLimits::default()
+        }
+    }
 }
 
 impl Default for LimitSettings {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -19,6 +19,8 @@
 use super::classes::ClassMetrics;
 use crate::base::error::ErrorKind;
 use crate::base::error::RequestOutcome;
+use crate::held_bytes::budget::ByteBudget;
+use crate::http_server::metrics::ClosedConnections;
 
 /// Upper bounds of the buckets of the latency histograms.
 const LATENCY_BUCKETS_SECONDS: [f64; 16] = [
@@ -133,6 +135,27 @@
     }
 }
 
+/// Metrics of what is held for others, and of their connections.
+#[derive(Debug, Clone)]
+pub struct MemoryMetrics {
+    /// Bytes held for callers, peers and the upstream.
+    pub held_bytes: IntGauge,
+    /// What was refused for lack of memory.
+    pub room_refusals: IntCounter,
+    /// Connections of callers that this process closed.
+    pub closed_connections: ClosedConnections,
+}
+
+impl MemoryMetrics {
+    /// Shows what is held of `budget`.
+    pub fn update(&self, budget: &ByteBudget) {
+        let held = i64::try_from(budget.held()).unwrap_or(i64::MAX);
+        self.held_bytes.set(held);
+        let refusals = budget.refusals().saturating_sub(self.room_refusals.get());
+        self.room_refusals.inc_by(refusals);
+    }
+}
+
 /// Metrics of the upstream and of delivery to it.
 #[derive(Debug, Clone)]
 pub struct UpstreamMetrics {
@@ -174,6 +197,8 @@
     pub transport: TransportMetrics,
     /// Metrics of the planner.
     pub planner: PlannerMetrics,
+    /// Metrics of what is held for others.
+    pub memory: MemoryMetrics,
     /// Metrics of the upstream and of delivery to it.
     pub upstream: UpstreamMetrics,
 }
@@ -196,6 +221,7 @@
             log: builder.log(),
             transport: builder.transport(),
             planner: builder.planner(),
+            memory: builder.memory(),
             upstream: builder.upstream(),
             registry: builder.0,
         }
@@ -353,6 +379,16 @@
         }
     }
 
+    fn memory(&self) -> MemoryMetrics {
+        MemoryMetrics {
+            held_bytes: self.gauge("winch_held_bytes"),
+            room_refusals: self.counter("winch_room_refusals_total"),
+            closed_connections: ClosedConnections::new(
+                self.counters("winch_closed_connections_total"),
+            ),
+        }
+    }
+
     fn upstream(&self) -> UpstreamMetrics {
         UpstreamMetrics {
             slots: self.gauge("winch_upstream_slots"),
--- a/src/upstream/http.rs
+++ b/src/upstream/http.rs
@@ -7,7 +7,7 @@
 use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
-use bytes::BytesMut;
+use reqwest::Body;
 use reqwest::Client;
 use reqwest::Method;
 use reqwest::Response;
@@ -25,6 +25,8 @@
 use crate::delivery::message::HeaderPair;
 use crate::delivery::message::RoutedRequest;
 use crate::delivery::message::UpstreamResponse;
+use crate::held_bytes::body::BodyReader;
+use crate::held_bytes::budget::ByteBudget;
 use crate::state::record::ChainSubject;
 use crate::state::record::UpstreamInfo;
 use crate::upstream::condition::StatedCondition;
@@ -53,6 +55,7 @@
 pub struct HttpUpstream {
     client: Client,
     max_body_bytes: usize,
+    responses: BodyReader,
 }
 
 impl HttpUpstream {
@@ -76,8 +79,19 @@
         Ok(Self {
             client,
             max_body_bytes,
+            responses: BodyReader::new(max_body_bytes, ByteBudget::default()),
         })
     }
+
+    /// Holds responses within `budget`. One for which there is no room fails with
+    /// [`CallError::Truncated`].
+    #[must_use]
+    pub fn with_budget(self, budget: ByteBudget) -> Self {
+        Self {
+            responses: BodyReader::new(self.max_body_bytes, budget),
+            ..self
+        }
+    }
 }
 
 impl UpstreamService for HttpUpstream {
@@ -85,7 +99,7 @@
         &self,
         request: UpstreamRequest,
     ) -> impl Future<Output = Result<UpstreamResponse, CallError>> + Send + 'static {
-        run_request(self.client.clone(), self.max_body_bytes, request)
+        run_request(self.client.clone(), self.responses.clone(), request)
     }
 
     fn cancel(
@@ -103,7 +117,7 @@
 
 async fn run_request(
     client: Client,
-    max_body_bytes: usize,
+    responses: BodyReader,
     dispatch: UpstreamRequest,
 ) -> Result<UpstreamResponse, CallError> {
     let request = &dispatch.request;
@@ -126,7 +140,7 @@
     if is_refusal(&response) {
         return Err(CallError::Refused);
     }
-    read_response(response, max_body_bytes, dispatch.token.epoch).await
+    read_response(response, &responses, dispatch.token.epoch).await
 }
 
 async fn cancel_request(client: Client, info: Arc<UpstreamInfo>, id: DispatchId) -> bool {
@@ -158,13 +172,17 @@
 }
 
 async fn read_response(
-    mut response: Response,
-    max_body_bytes: usize,
+    response: Response,
+    responses: &BodyReader,
     epoch: u64,
 ) -> Result<UpstreamResponse, CallError> {
     let status = response.status().as_u16();
     let headers = response_headers(response.headers());
-    let body = read_body(&mut response, max_body_bytes).await?;
+    let body = responses.read(Body::from(response)).await;
+    let body = body.map_err(|error| {
+        log::debug!("upstream: cannot read a response: {error}");
+        CallError::Truncated
+    })?;
     Ok(UpstreamResponse {
         status,
         headers,
@@ -174,40 +192,6 @@
     })
 }
 
-async fn read_body(response: &mut Response, max_body_bytes: usize) -> Result<Bytes, CallError> {
-    let mut rest = BytesMut::new();
-    let mut first = Bytes::new();
-    loop {
-        let chunk = response
-            .chunk()
-            .await
-            .map_err(|_error| CallError::Truncated)?;
-        let Some(chunk) = chunk else {
-            return Ok(joined_body(first, &rest));
-        };
-        if first.len() + rest.len() + chunk.len() > max_body_bytes {
-            return Err(CallError::Truncated);
-        }
-        if first.is_empty() {
-            first = chunk;
-        } else {
-            rest.extend_from_slice(&chunk);
-        }
-    }
-}
-
-/// Joins a body's chunks. Most responses arrive in one chunk, which is returned
-/// without a copy.
-fn joined_body(first: Bytes, rest: &BytesMut) -> Bytes {
-    if rest.is_empty() {
-        return first;
-    }
-    let mut body = BytesMut::with_capacity(first.len() + rest.len());
-    body.extend_from_slice(&first);
-    body.extend_from_slice(rest);
-    body.freeze()
-}
-
 fn upstream_url(address: SocketAddr, path: &str) -> Option<Url> {
     Url::parse(&format!("http://{address}{path}")).ok()
 }
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -100,6 +100,17 @@
     insta::assert_snapshot!(faults);
 }
 
+/// A body that never finds room would be refused each time it is sent again.
+#[test]
+fn bodies_and_outcomes_that_the_memory_does_not_bear_are_faults() {
+    let limits = "limits:\n  memory_bytes: 160000000\n  max_body_bytes: 67108864\n  \
+                  outcome_bytes: 67108864\n";
+
+    let faults = faults_of(&format!("{MINIMAL}{limits}"));
+
+    insta::assert_snapshot!(faults);
+}
+
 #[test]
 fn text_that_is_not_yaml_is_refused_with_its_line() {
     let faults = faults_of("node: orders-1\nnode: orders-2\n");
