winchd: return freed memory to the system at once

What callers saw: long answers that many of them read slowly took a `winchd` beyond its memory, though what it held was within its budget.

Cause: the allocator keeps freed blocks for a second before it returns them. A message of 12 MiB between processes grows in a buffer that is replaced as it doubles, so each leaves as much behind as it holds, and bodies that are refused do the same.

Change: the delay of the allocator's purge is 0.

What the change costs in processor time was not measured.

--- a/src/bin/winchd/main.rs
+++ b/src/bin/winchd/main.rs
@@ -1,5 +1,6 @@
 //! Entry point of `winchd`, which runs one router process beside each upstream.
 
+mod allocator;
 mod check;
 mod run;
 
@@ -35,6 +36,7 @@
 }
 
 fn main() -> ExitCode {
+    allocator::purge_at_once();
     let cli = Cli::parse();
     if cli.print_defaults {
         print!("{}", buckthornwinch::settings::print_defaults());
