sockets: bound what the kernel holds of callers, peers and responses

What callers saw: a sidecar ends when it exceeds its memory, and bytes that it has received and not read count as memory. A crowd whose bodies wait for room, or that comes faster than it is read, took it there.

Cause: no socket had a bound. The kernel's receive buffer of a connection begins at 64 KiB and grows to megabytes, the send buffer as well, and a connection counted 24 KiB in the budget.

Change: the listener bounds the unread bytes of its connections to 32 KiB, which each connection leases from the budget (56 KiB in all, so 160 MB bear 892 connections of callers instead of 2,083, and 260 MB 1,590). Connections to peers, the upstream and the store have a bound of 256 KiB. All of them take at most 16 KiB ahead of what they can send (`TCP_NOTSENT_LOWAT`).

Why it works: the window that a connection grants with its first segment follows the listener's buffer, so a crowd cannot fill more than was leased when it was accepted.

What innocent callers lose: one connection carries at most 32 KiB a round trip, which is little over long links; no throughput was measured. The client of `winchd`'s upstream has no such bound, since its library has no setting for it.

--- a/src/base/sockets.rs
+++ b/src/base/sockets.rs
@@ -18,6 +18,37 @@
 /// connection is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Receive buffer of a connection to a process of the fleet, to the upstream or to the
+/// store, in bytes.
+pub const PEER_RECEIVE_BYTES: usize = 256 * 1024;
+
+/// Most bytes that the kernel takes for a connection ahead of what it can send. What is on
+/// its way is not part of it, so long links are not slower.
+const UNSENT_BYTES: u32 = 16 * 1024;
+
+/// Bounds the bytes that the kernel receives on a connection and that are not read, to
+/// `bytes`. The connections that a listener accepts have its bound.
+///
+/// # Errors
+///
+/// Fails if the system refuses the option.
+pub fn bound_unread<'s, S>(socket: &'s S, bytes: usize) -> io::Result<()>
+where
+    SockRef<'s>: From<&'s S>,
+{
+    // The kernel doubles the value and counts its own overhead within the result.
+    SockRef::from(socket).set_recv_buffer_size(bytes / 2)
+}
+
+/// Bounds the bytes that are written on a connection whose other side does not take them.
+///
+/// # Errors
+///
+/// Fails if the system refuses the option.
+pub fn bound_unsent(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_notsent_lowat(UNSENT_BYTES)
+}
+
 /// Sets the options that detect a dead peer within seconds.
 ///
 /// # Errors
--- a/src/held_bytes/limits.rs
+++ b/src/held_bytes/limits.rs
@@ -22,8 +22,13 @@
 /// peers, the upstream and the store.
 const CALLER_SOCKET_PERCENT: usize = 60;
 
-/// Bytes that an open connection of a caller holds while nothing is sent on it.
-pub const CONNECTION_BYTES: usize = 24 * 1024;
+/// Bytes that a caller's connection may have received while nobody reads them. They
+/// count as memory of the process.
+pub const UNREAD_BYTES: usize = 32 * 1024;
+
+/// Bytes that an open connection of a caller holds: what the process keeps for it, and
+/// what it has received and not read.
+pub const CONNECTION_BYTES: usize = 24 * 1024 + UNREAD_BYTES;
 
 /// Fraction of the budget that connections may hold, in percent.
 const CONNECTION_BUDGET_PERCENT: usize = 50;
--- a/src/http_server/server.rs
+++ b/src/http_server/server.rs
@@ -21,6 +21,8 @@
 use super::watched_stream::ConnectionWatch;
 use super::watched_stream::TableEntry;
 use super::watched_stream::WatchedStream;
+use crate::base::sockets::bound_unread;
+use crate::base::sockets::bound_unsent;
 use crate::base::sockets::detect_dead_peer;
 use crate::base::timer::TimerService;
 use crate::held_bytes::budget::ByteBudget;
@@ -29,6 +31,7 @@
 use crate::held_bytes::connections::ConnectionPhase;
 use crate::held_bytes::connections::OperatorTimeouts;
 use crate::held_bytes::limits::CONNECTION_BYTES;
+use crate::held_bytes::limits::UNREAD_BYTES;
 
 /// The body of a response.
 pub type OutgoingBody = Full<Bytes>;
@@ -96,6 +99,9 @@
     bounds: ListenerBounds,
     callers: CallerConnections,
 ) {
+    if let Err(error) = bound_unread(&listener, UNREAD_BYTES) {
+        log::warn!("http: cannot bound the receive buffers: {error}");
+    }
     let table = ConnectionTable::new(bounds.closed_connections.clone());
     let ended = CancellationToken::new();
     let _guard = ended.clone().drop_guard();
@@ -108,7 +114,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, client)) => {
-                if let Err(error) = detect_dead_peer(&stream) {
+                if let Err(error) = detect_dead_peer(&stream).and(bound_unsent(&stream)) {
                     log::debug!("http: cannot configure a connection: {error}");
                 }
                 let Some(lease) = make_room(&table, &bounds).await else {
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -21,6 +21,9 @@
 use super::frame::MessageAssembler;
 use super::frame::PeerMessage;
 use super::frame::ReceivedMessage;
+use crate::base::sockets::PEER_RECEIVE_BYTES;
+use crate::base::sockets::bound_unread;
+use crate::base::sockets::bound_unsent;
 use crate::held_bytes::budget::ByteBudget;
 
 /// Maximum number of encoded messages that wait for the writer.
@@ -109,6 +112,8 @@
     budget: ByteBudget,
 ) -> io::Result<(ConnectionReader, ConnectionSender)> {
     stream.set_nodelay(true)?;
+    bound_unread(&stream, PEER_RECEIVE_BYTES)?;
+    bound_unsent(&stream)?;
     let (read, write) = stream.into_split();
     let reader = ConnectionReader {
         frames: FramedRead::new(read, codec()),
