transport: results kept for many entry nodes leave room for requests

What callers saw: requests with bodies refused for lack of room while none of them was at fault.

Cause: an owner keeps up to 8 MiB of results for 5 s for each entry node, in case a request is sent again, and they hold their bytes of the budget. With many entry nodes they are most of it.

Change: all entry nodes together have an eighth of the budget. Beyond that, an entry node that has more than an equal part loses its oldest results, so one with little loses nothing to one with much.

Why it works: a kept result only serves a request whose link broke within 5 s, and that it has run is still remembered, so nothing runs twice.

What innocent callers lose: beyond the bound, a request whose link broke after it had run is answered "may have run" instead of with its result.

--- a/src/held_bytes/budget.rs
+++ b/src/held_bytes/budget.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Returns the bytes that all leases may hold.
+    pub fn limit(&self) -> usize {
+        self.account().limit
+    }
+
     /// Returns the bytes that all leases hold.
     pub fn held(&self) -> usize {
         self.account().held()
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -12,6 +12,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::encoded::EncodedMessage;
+use super::kept_results::KeptResults;
+use super::kept_results::KeptShare;
 use crate::base::collections::FastMap;
 use crate::base::ids::RequestId;
 
@@ -19,9 +21,6 @@
 /// after its deadline a request is remembered.
 pub const RESPONSE_RETENTION: Duration = Duration::from_secs(5);
 
-/// Maximum total size of the encoded results that are kept for one entry node.
-const MAX_KEPT_BYTES: usize = 8 * 1024 * 1024;
-
 /// How to handle a received request.
 #[derive(Debug)]
 pub enum InboundDecision {
@@ -50,18 +49,34 @@
 }
 
 /// Requests that were received from one entry node, by request id.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct InboundRequests {
     states: FastMap<RequestId, InboundState>,
     /// Requests whose results are kept, with the time of the result.
     completed: VecDeque<(Instant, RequestId)>,
-    completed_bytes: usize,
+    kept: KeptShare,
     /// Requests whose results are not kept any more, with the time until which they
     /// are remembered, in its order.
     dropped: VecDeque<(Instant, RequestId)>,
 }
 
+impl Default for InboundRequests {
+    fn default() -> Self {
+        Self::new(&KeptResults::default())
+    }
+}
+
 impl InboundRequests {
+    /// Creates the requests of an entry node, whose results are kept within `kept`.
+    pub fn new(kept: &KeptResults) -> Self {
+        Self {
+            states: FastMap::default(),
+            completed: VecDeque::new(),
+            kept: kept.share(),
+            dropped: VecDeque::new(),
+        }
+    }
+
     /// Registers a received request and decides how to handle it. The entry node does
     /// not send it again after `deadline`.
     pub fn receive(&mut self, id: RequestId, deadline: Instant) -> InboundDecision {
@@ -90,7 +105,7 @@
             return;
         };
         let deadline = *deadline;
-        self.completed_bytes += response.len();
+        self.kept.add(response.len());
         self.completed.push_back((now, id));
         let state = InboundState::Completed { response, deadline };
         self.states.insert(id, state);
@@ -119,7 +134,7 @@
     pub fn remove_expired(&mut self, now: Instant) {
         while let Some(&(at, id)) = self.completed.front() {
             let expired = now.duration_since(at) > RESPONSE_RETENTION;
-            if !expired && self.completed_bytes <= MAX_KEPT_BYTES {
+            if !expired && !self.kept.is_exceeded() {
                 break;
             }
             self.completed.pop_front();
@@ -138,7 +153,7 @@
         let Some(InboundState::Completed { response, deadline }) = former else {
             return;
         };
-        self.completed_bytes -= response.len();
+        self.kept.remove(response.len());
         // Not before those that were dropped earlier, so that the queue stays in order.
         let last = self.dropped.back().map(|(until, _id)| *until);
         let until = last.max(Some(deadline + RESPONSE_RETENTION));
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -25,6 +25,7 @@
 use super::frame::ReceivedMessage;
 use super::inbound::InboundDecision;
 use super::inbound::InboundRequests;
+use super::kept_results::KeptResults;
 use crate::admission::load::OwnerLoad;
 use crate::base::collections::FastMap;
 use crate::base::error::ErrorKind;
@@ -47,6 +48,9 @@
 /// How long a connection may be silent before it is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Fraction of the budget that kept results may hold: one eighth.
+const KEPT_DIVISOR: usize = 8;
+
 /// How often results that are kept no longer are looked for.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -138,6 +142,7 @@
     incarnation: Incarnation,
     handler: H,
     budget: ByteBudget,
+    kept: KeptResults,
     sessions: Arc<Mutex<FastMap<Incarnation, Arc<EntrySession>>>>,
 }
 
@@ -149,14 +154,21 @@
             incarnation,
             handler,
             budget: ByteBudget::default(),
+            kept: KeptResults::default(),
             sessions: Arc::default(),
         }
     }
 
-    /// Holds what entry nodes send within `budget`.
+    /// Holds what entry nodes send within `budget`. Results that are kept in case their
+    /// requests are sent again have an eighth of it.
     #[must_use]
     pub fn with_budget(self, budget: ByteBudget) -> Self {
-        Self { budget, ..self }
+        let kept = KeptResults::new(budget.limit() / KEPT_DIVISOR);
+        Self {
+            budget,
+            kept,
+            ..self
+        }
     }
 
     /// Accepts connections until `stop` fires, which also closes the open ones.
@@ -258,7 +270,13 @@
     /// two steps: a second one would not know what has run.
     fn register(&self, entry: Incarnation, sender: &ConnectionSender) -> ConnectionGuard {
         let mut sessions = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
-        let session = Arc::clone(sessions.entry(entry).or_default());
+        let session = sessions.entry(entry).or_insert_with(|| {
+            Arc::new(EntrySession {
+                inbound: Mutex::new(InboundRequests::new(&self.kept)),
+                ..EntrySession::default()
+            })
+        });
+        let session = Arc::clone(session);
         session.connections().push(sender.clone());
         ConnectionGuard {
             session,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -28,6 +28,7 @@
 mod held_bytes;
 mod hotkeys;
 mod inbound_requests;
+mod kept_results;
 mod load_balancing;
 mod log_client;
 mod log_sessions;
