soak: crowds that stop in large bodies

Cause: the soak knew no callers outside the limits.

A crowd excuses nothing: no request of other callers may lose its connection by it, and a process that is above its memory at the end of a crowd is a violation. Crowds have random numbers of their own, so the other faults of a seed stay what they were.

--- a/crates/winch-soak/src/faults.rs
+++ b/crates/winch-soak/src/faults.rs
@@ -12,6 +12,7 @@
 use winch_standin::store_standin::StoreCopy;
 use winch_standin::store_standin::StoreFaults;
 
+use crate::crowd::StalledCrowd;
 use crate::fault_history::FaultTarget;
 use crate::fault_history::SpanIndex;
 use crate::fleet::SoakFleet;
@@ -28,6 +29,9 @@
 /// [`SidecarFile`](winch_standin::sidecar_files::SidecarFile).
 const SHUTDOWN_GRACE: Duration = Duration::from_secs(3);
 
+/// Memory that a sidecar may use by its default settings, in bytes.
+const MEMORY_BYTES: u64 = 160_000_000;
+
 /// Time after the grace period by which a process must have ended.
 const SHUTDOWN_MARGIN: Duration = Duration::from_secs(1);
 
@@ -101,6 +105,8 @@
     store: StoreFaults,
     /// The copy that the store comes back from.
     copy: Option<StoreCopy>,
+    /// The crowds at the machines.
+    crowds: Vec<(MachineIndex, StalledCrowd)>,
 }
 
 impl<'a> FaultInjector<'a> {
@@ -111,6 +117,7 @@
             ledger,
             store: StoreFaults::default(),
             copy: None,
+            crowds: Vec::new(),
         }
     }
 
@@ -130,7 +137,7 @@
             | SoakFault::PeerLink(machine, _) => vec![FaultTarget::Machine(*machine)],
             SoakFault::Datagrams(_) => vec![FaultTarget::All],
             SoakFault::Store(_) => vec![FaultTarget::Store],
-            SoakFault::Configuration { .. } => Vec::new(),
+            SoakFault::Crowd(_) | SoakFault::Configuration { .. } => Vec::new(),
         };
         self.ledger
             .with_fault_history(|spans| targets.iter().map(|target| spans.begin(*target)).collect())
@@ -168,6 +175,7 @@
                 FaultStep::Repeat => {}
             },
             SoakFault::Store(kind) => self.step_store(*kind, step),
+            SoakFault::Crowd(machine) => self.step_crowd(*machine, step)?,
             SoakFault::Configuration { .. } => {
                 if step != FaultStep::End {
                     self.fleet.change_configuration(self.ledger);
@@ -177,6 +185,26 @@
         Ok(())
     }
 
+    fn step_crowd(&mut self, machine: MachineIndex, step: FaultStep) -> eyre::Result<()> {
+        let target = &mut self.fleet.machines[machine];
+        if step == FaultStep::Begin {
+            let crowd = StalledCrowd::start(target.ports.callers());
+            self.crowds.push((machine, crowd));
+        } else if step == FaultStep::End {
+            // A process that a fault has ended uses no memory.
+            if target.process.is_running() {
+                let used = target.process.usage()?.resident_bytes;
+                if used > MEMORY_BYTES {
+                    self.ledger.record_violation(format!(
+                        "MEMORY: machine {machine} uses {used} of {MEMORY_BYTES} bytes"
+                    ));
+                }
+            }
+            self.crowds.retain(|(other, _crowd)| *other != machine);
+        }
+        Ok(())
+    }
+
     /// Ignores violations by grants that a faulty link may have delayed.
     fn ignore_delayed_grants(&self, machine: MachineIndex, step: FaultStep) {
         let until = if step == FaultStep::End {
--- a/crates/winch-soak/src/lib.rs
+++ b/crates/winch-soak/src/lib.rs
@@ -8,6 +8,7 @@
 //! observe, and takes from [`fault_history`] which checks a fault suspends.
 
 pub mod callers;
+pub mod crowd;
 pub mod datagrams;
 pub mod fault_history;
 pub mod faults;
--- a/crates/winch-soak/src/plan.rs
+++ b/crates/winch-soak/src/plan.rs
@@ -25,8 +25,8 @@
 /// Minimum and maximum number of configurations in a burst.
 const CHANGES_PER_BURST: (u32, u32) = (4, 30);
 
-/// Probability that a series also has an upstream with a limit, and that it also has
-/// a store that comes back from a copy.
+/// Probability that a series also has an upstream with a limit, that it also has a store
+/// that comes back from a copy, and that it also has a crowd.
 const ADDED_FAULT_PROBABILITY: f64 = 0.4;
 
 /// Lowest and highest limit of an upstream, in requests per second.
@@ -36,6 +36,9 @@
 /// of a seed as they are.
 const ADDED_FAULT_STREAM: u64 = 0x6164_6465_6421;
 
+/// Distinguishes the random numbers of the crowds.
+const CROWD_STREAM: u64 = 0x6372_6f77_6421;
+
 /// A fault of a sidecar's process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProcessFault {
@@ -135,6 +138,8 @@
     Datagrams(DatagramFault),
     /// Faults the store.
     Store(StoreFault),
+    /// A crowd of callers stops in large bodies at a machine's sidecar.
+    Crowd(MachineIndex),
     /// Writes new configurations in quick succession.
     Configuration {
         /// Number of configurations.
@@ -150,6 +155,7 @@
             self,
             Self::Process(_, ProcessFault::Terminate | ProcessFault::Hangup)
                 | Self::Upstream(_, UpstreamFault::Drain)
+                | Self::Crowd(_)
                 | Self::Configuration { .. }
         )
     }
@@ -190,6 +196,7 @@
         let mut generator = PlanGenerator {
             rng: StdRng::seed_from_u64(seed),
             added: StdRng::seed_from_u64(seed ^ ADDED_FAULT_STREAM),
+            crowds: StdRng::seed_from_u64(seed ^ CROWD_STREAM),
             machines,
             used: Vec::new(),
         };
@@ -202,6 +209,8 @@
     rng: StdRng,
     /// Random numbers of the added faults.
     added: StdRng,
+    /// Random numbers of the crowds.
+    crowds: StdRng,
     machines: usize,
     /// Machines whose process or upstream already has a fault in this series.
     used: Vec<MachineIndex>,
@@ -215,10 +224,22 @@
             .random_range(FAULTS_PER_SERIES.0..=FAULTS_PER_SERIES.1);
         let mut faults: Vec<PlannedFault> = (0..count).map(|_number| self.fault()).collect();
         faults.extend(self.added_faults());
+        faults.extend(self.crowd());
         faults.sort_by_key(|fault| fault.start);
         faults
     }
 
+    fn crowd(&mut self) -> Option<PlannedFault> {
+        let rng = &mut self.crowds;
+        let (shortest, longest) = (FAULT_DURATION.0.as_millis(), FAULT_DURATION.1.as_millis());
+        let planned = PlannedFault {
+            start: Duration::from_millis(rng.random_range(0..=MAX_FAULT_START.as_millis() as u64)),
+            duration: Duration::from_millis(rng.random_range(shortest as u64..=longest as u64)),
+            fault: SoakFault::Crowd(rng.random_range(0..self.machines)),
+        };
+        rng.random_bool(ADDED_FAULT_PROBABILITY).then_some(planned)
+    }
+
     fn added_faults(&mut self) -> Vec<PlannedFault> {
         let rng = &mut self.added;
         let limit = rng.random_range(UPSTREAM_LIMITS.0..=UPSTREAM_LIMITS.1);
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -91,6 +91,19 @@
     assert!(plan.series.iter().all(|series| series.len() >= 2));
 }
 
+/// While a crowd stays, no request of others may lose its connection.
+#[test]
+fn crowds_are_part_of_normal_operation() {
+    let mut planned = (0..20).flat_map(|seed| FaultPlan::generate(seed, 5, 3).series);
+
+    let crowd = planned.find_map(|series| {
+        let mut faults = series.into_iter().map(|planned| planned.fault);
+        faults.find(|fault| matches!(fault, SoakFault::Crowd(_)))
+    });
+
+    assert!(crowd.is_some_and(|fault| fault.is_planned()));
+}
+
 #[test]
 fn a_terminated_process_has_its_grace_period_before_its_restart() {
     let planned = PlannedFault {
