transport: bound connections that do not say whose they are

What callers saw: nothing yet; a crowd at the listener for other processes takes descriptors that callers, the upstream and the store need.

Cause: the listener for peers accepts any number of connections, and gives each 2 s for its first message.

Beyond that the oldest one is closed, since a peer sends its first message at once.

Why it works: a connection leaves the queue with its first message, so only those that send none are closed.

--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -54,6 +54,7 @@
 use crate::store::StoreTopic;
 use crate::telemetry::request_log::RequestLog;
 use crate::transport::datagram::DatagramSocket;
+use crate::transport::server::OwnerRequestHandler;
 use crate::transport::server::PeerServer;
 
 /// Maximum wait for the store at start; after that, the sidecar starts without
@@ -215,8 +216,7 @@
         tokio::spawn(controller.run());
         serve_upstream(&fleet, &registry, &slots, &metrics);
         tokio::spawn(follower.run());
-        let peers = PeerServer::new(member.incarnation, owner).with_budget(budget.clone());
-        tokio::spawn(peers.serve(listener, CancellationToken::new()));
+        serve_peers(listener, member.incarnation, owner, &settings, &budget);
 
         Ok(Self {
             dispatcher,
@@ -290,6 +290,20 @@
     }
 }
 
+/// Serves the other sidecars until the process ends.
+fn serve_peers<H: OwnerRequestHandler>(
+    listener: TcpListener,
+    incarnation: Incarnation,
+    owner: H,
+    settings: &SidecarSettings,
+    budget: &ByteBudget,
+) {
+    let peers = PeerServer::new(incarnation, owner)
+        .with_budget(budget.clone())
+        .with_max_greetings(settings.process_limits.pending_greetings());
+    tokio::spawn(peers.serve(listener, CancellationToken::new()));
+}
+
 /// Binds the TCP listener and the datagram socket for other sidecars.
 async fn bind_peers(address: SocketAddr) -> eyre::Result<(TcpListener, DatagramSocket)> {
     let listener = TcpListener::bind(address).await.wrap_err_with(|| {
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -23,6 +23,8 @@
 use super::frame::PROTOCOL_VERSION;
 use super::frame::PeerMessage;
 use super::frame::ReceivedMessage;
+use super::greetings::GreetingGuard;
+use super::greetings::PendingGreetings;
 use super::inbound::InboundDecision;
 use super::inbound::InboundRequests;
 use super::kept_results::KeptResults;
@@ -143,6 +145,7 @@
     handler: H,
     budget: ByteBudget,
     kept: KeptResults,
+    greetings: PendingGreetings,
     sessions: Arc<Mutex<FastMap<Incarnation, Arc<EntrySession>>>>,
 }
 
@@ -155,6 +158,7 @@
             handler,
             budget: ByteBudget::default(),
             kept: KeptResults::default(),
+            greetings: PendingGreetings::default(),
             sessions: Arc::default(),
         }
     }
@@ -171,6 +175,16 @@
         }
     }
 
+    /// Lets at most `max` connections wait for their first message. A further one takes
+    /// the place of the oldest.
+    #[must_use]
+    pub fn with_max_greetings(self, max: usize) -> Self {
+        Self {
+            greetings: PendingGreetings::new(max),
+            ..self
+        }
+    }
+
     /// Accepts connections until `stop` fires, which also closes the open ones.
     pub async fn serve(self, listener: TcpListener, stop: CancellationToken) {
         let mut ticks = TimerService.subscribe(EXPIRY_INTERVAL);
@@ -192,10 +206,11 @@
             Ok((stream, from)) => {
                 let server = self.clone();
                 let stop = stop.clone();
+                let greeting = self.greetings.begin();
                 tokio::spawn(async move {
                     tokio::select! {
                         () = stop.cancelled() => {}
-                        ended = server.serve_connection(stream) => if let Err(error) = ended {
+                        ended = server.serve_connection(stream, greeting) => if let Err(error) = ended {
                             log::debug!("transport: closed the connection from {from}: {error}");
                         }
                     }
@@ -208,9 +223,14 @@
         }
     }
 
-    async fn serve_connection(&self, stream: TcpStream) -> io::Result<()> {
+    async fn serve_connection(&self, stream: TcpStream, greeting: GreetingGuard) -> io::Result<()> {
         let (mut reader, sender) = connection::open_within(stream, self.budget.clone())?;
-        let Some(from) = self.handshake(&mut reader, &sender).await? else {
+        let greeted = tokio::select! {
+            () = greeting.closed() => return Ok(()),
+            greeted = self.handshake(&mut reader, &sender) => greeted?,
+        };
+        drop(greeting);
+        let Some(from) = greeted else {
             return Ok(());
         };
         let guard = self.register(from, &sender);
