--- a/src/held_bytes/limits.rs
+++ b/src/held_bytes/limits.rs
@@ -22,9 +22,9 @@
 /// peers, the upstream and the store.
 const CALLER_SOCKET_PERCENT: usize = 60;
 
-/// Fraction of the sockets that may be connections to the listener for peers whose other
-/// side has not said who it is: one eighth.
-const GREETING_SOCKET_DIVISOR: usize = 8;
+/// Fraction of the sockets that connections of peers may use during their handshake: one
+/// eighth.
+const HANDSHAKE_SOCKET_DIVISOR: usize = 8;
 
 /// Bytes that a caller's connection may have received while nobody reads them. They
 /// count as memory of the process.
@@ -69,11 +69,10 @@
         by_descriptors.min(self.connections_by_memory()).max(1)
     }
 
-    /// Returns how many connections to the listener for peers may wait for their first
-    /// message, at least one.
-    pub fn pending_greetings(self) -> usize {
+    /// Returns how many connections of peers may be in their handshake, at least one.
+    pub fn pending_handshakes(self) -> usize {
         let sockets = self.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
-        (sockets / GREETING_SOCKET_DIVISOR).max(1)
+        (sockets / HANDSHAKE_SOCKET_DIVISOR).max(1)
     }
 
     /// Returns how many connections of callers the memory bears, at least one.
--- a/src/http_server/server.rs
+++ b/src/http_server/server.rs
@@ -33,7 +33,7 @@
 use crate::held_bytes::limits::CONNECTION_BYTES;
 use crate::held_bytes::limits::UNREAD_BYTES;
 
-/// The body of a response.
+/// A body that is sent in one piece.
 pub type OutgoingBody = Full<Bytes>;
 
 /// Largest head while the operator's limit is not known.
--- a/src/node/context.rs
+++ b/src/node/context.rs
@@ -342,7 +342,7 @@
     pub(super) fn serve_peers(&self, listener: TcpListener, handler: NodeHandler<NodeGate>) {
         let peers = PeerServer::new(self.own, handler)
             .with_budget(self.budget.clone())
-            .with_max_greetings(self.settings.limits.process_limits().pending_greetings());
+            .with_max_handshakes(self.settings.limits.process_limits().pending_handshakes());
         self.spawn(remove_ended_entries(self.inputs.clone(), peers.clone()));
         self.tasks.spawn(peers.serve(listener, self.stop.clone()));
     }
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -300,7 +300,7 @@
 ) {
     let peers = PeerServer::new(incarnation, owner)
         .with_budget(budget.clone())
-        .with_max_greetings(settings.process_limits.pending_greetings());
+        .with_max_handshakes(settings.process_limits.pending_handshakes());
     tokio::spawn(peers.serve(listener, CancellationToken::new()));
 }
 
--- a/src/transport/handshakes.rs
+++ b/src/transport/handshakes.rs
@@ -1,4 +1,4 @@
-//! Bounds the connections whose other side has not said who it is.
+//! Bounds the connections whose handshake is not complete.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -10,27 +10,27 @@
 use tokio_util::sync::WaitForCancellationFuture;
 
 #[derive(Debug, Default)]
-struct GreetingQueue {
+struct HandshakeQueue {
     /// Number and close signal of each connection, oldest first.
     pending: VecDeque<(u64, CancellationToken)>,
     last_number: u64,
 }
 
-/// Connections that wait for their first message. Clones share them.
+/// Connections whose handshake is not complete. Clones share them.
 #[derive(Debug, Clone)]
-pub struct PendingGreetings {
-    queue: Arc<Mutex<GreetingQueue>>,
+pub struct PendingHandshakes {
+    queue: Arc<Mutex<HandshakeQueue>>,
     max: usize,
 }
 
-impl Default for PendingGreetings {
+impl Default for PendingHandshakes {
     /// Returns a queue without bound.
     fn default() -> Self {
         Self::new(usize::MAX)
     }
 }
 
-impl PendingGreetings {
+impl PendingHandshakes {
     /// Creates a queue of at most `max` connections.
     pub fn new(max: usize) -> Self {
         Self {
@@ -41,7 +41,7 @@
 
     /// Adds a connection. If there are too many, the oldest one is to be closed: a peer
     /// sends its first message at once.
-    pub fn begin(&self) -> GreetingGuard {
+    pub fn begin(&self) -> HandshakeGuard {
         let closing = CancellationToken::new();
         let mut queue = self.lock();
         queue.last_number += 1;
@@ -52,36 +52,36 @@
         {
             oldest.cancel();
         }
-        GreetingGuard {
-            greetings: self.clone(),
+        HandshakeGuard {
+            handshakes: self.clone(),
             number,
             closing,
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, GreetingQueue> {
+    fn lock(&self) -> MutexGuard<'_, HandshakeQueue> {
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// Keeps a connection in its queue until dropped.
 #[derive(Debug)]
-pub struct GreetingGuard {
-    greetings: PendingGreetings,
+pub struct HandshakeGuard {
+    handshakes: PendingHandshakes,
     number: u64,
     closing: CancellationToken,
 }
 
-impl GreetingGuard {
+impl HandshakeGuard {
     /// Completes when the connection is to be closed.
     pub fn closed(&self) -> WaitForCancellationFuture<'_> {
         self.closing.cancelled()
     }
 }
 
-impl Drop for GreetingGuard {
+impl Drop for HandshakeGuard {
     fn drop(&mut self) {
-        let mut queue = self.greetings.lock();
+        let mut queue = self.handshakes.lock();
         queue
             .pending
             .retain(|(number, _closing)| *number != self.number);
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -8,7 +8,7 @@
 //! requests under their original ids. The owner ([`server`]) tracks the ids
 //! that it has seen from each incarnation ([`inbound`]), so that a resent
 //! request never runs twice. [`kept_results`] bounds the results that it keeps for that,
-//! and [`greetings`] the connections that have not said whose they are.
+//! and [`handshakes`] the connections whose handshake is not complete.
 //!
 //! [`state`] fetches the folded state of another process, for a process that
 //! cannot read the log.
@@ -20,7 +20,7 @@
 pub mod datagram;
 pub mod encoded;
 pub mod frame;
-pub mod greetings;
+pub mod handshakes;
 pub mod inbound;
 pub mod kept_results;
 pub mod link;
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -23,8 +23,8 @@
 use super::frame::PROTOCOL_VERSION;
 use super::frame::PeerMessage;
 use super::frame::ReceivedMessage;
-use super::greetings::GreetingGuard;
-use super::greetings::PendingGreetings;
+use super::handshakes::HandshakeGuard;
+use super::handshakes::PendingHandshakes;
 use super::inbound::InboundDecision;
 use super::inbound::InboundRequests;
 use super::kept_results::KeptResults;
@@ -145,7 +145,7 @@
     handler: H,
     budget: ByteBudget,
     kept: KeptResults,
-    greetings: PendingGreetings,
+    handshakes: PendingHandshakes,
     sessions: Arc<Mutex<FastMap<Incarnation, Arc<EntrySession>>>>,
 }
 
@@ -158,7 +158,7 @@
             handler,
             budget: ByteBudget::default(),
             kept: KeptResults::default(),
-            greetings: PendingGreetings::default(),
+            handshakes: PendingHandshakes::default(),
             sessions: Arc::default(),
         }
     }
@@ -175,12 +175,12 @@
         }
     }
 
-    /// Lets at most `max` connections wait for their first message. A further one takes
-    /// the place of the oldest.
+    /// Lets at most `max` connections be in their handshake. A further one takes the place
+    /// of the oldest.
     #[must_use]
-    pub fn with_max_greetings(self, max: usize) -> Self {
+    pub fn with_max_handshakes(self, max: usize) -> Self {
         Self {
-            greetings: PendingGreetings::new(max),
+            handshakes: PendingHandshakes::new(max),
             ..self
         }
     }
@@ -206,11 +206,11 @@
             Ok((stream, from)) => {
                 let server = self.clone();
                 let stop = stop.clone();
-                let greeting = self.greetings.begin();
+                let pending = self.handshakes.begin();
                 tokio::spawn(async move {
                     tokio::select! {
                         () = stop.cancelled() => {}
-                        ended = server.serve_connection(stream, greeting) => if let Err(error) = ended {
+                        ended = server.serve_connection(stream, pending) => if let Err(error) = ended {
                             log::debug!("transport: closed the connection from {from}: {error}");
                         }
                     }
@@ -223,14 +223,14 @@
         }
     }
 
-    async fn serve_connection(&self, stream: TcpStream, greeting: GreetingGuard) -> io::Result<()> {
+    async fn serve_connection(&self, stream: TcpStream, pending: HandshakeGuard) -> io::Result<()> {
         let (mut reader, sender) = connection::open_within(stream, self.budget.clone())?;
-        let greeted = tokio::select! {
-            () = greeting.closed() => return Ok(()),
-            greeted = self.handshake(&mut reader, &sender) => greeted?,
+        let from = tokio::select! {
+            () = pending.closed() => return Ok(()),
+            from = self.handshake(&mut reader, &sender) => from?,
         };
-        drop(greeting);
-        let Some(from) = greeted else {
+        drop(pending);
+        let Some(from) = from else {
             return Ok(());
         };
         let guard = self.register(from, &sender);
