store: measure and log calls to the store

The logs named the first failed read of a topic and nothing of its size, its duration or the calls that followed, so that they could not tell a store short of bandwidth from one with too many calls or a sidecar short of its own link.

Every call is counted by call, topic and outcome, with its time; failed ones, pages with records and appended records are logged with their sizes.

--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -13,6 +13,7 @@
 
 use crate::held_bytes::budget::ByteBudget;
 use crate::http_server::metrics::ClosedConnections;
+use crate::store::observed::StoreMetrics;
 
 /// Upper bounds of the buckets of latency histograms.
 const LATENCY_BUCKETS_SECONDS: [f64; 12] = [
@@ -59,6 +60,8 @@
     pub lease_valid: IntGauge,
     /// Failure domains that are evacuated.
     pub evacuation: EvacuationMetrics,
+    /// Calls to the store.
+    pub store: StoreMetrics,
     /// Log lines about requests that were dropped by the rate limit.
     pub dropped_lines: IntCounter,
     /// Callers' connections that this process closed, by cause.
@@ -215,6 +218,7 @@
                 "Whether the lease is valid, 0 or 1.",
             ),
             evacuation: EvacuationMetrics::new(&registry),
+            store: StoreMetrics::new(&registry),
             dropped_lines: counter(
                 &registry,
                 "winch_sidecar_dropped_log_lines_total",
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -52,6 +52,7 @@
 use crate::store::StateStore;
 use crate::store::StorePage;
 use crate::store::StoreTopic;
+use crate::store::observed::ObservedStore;
 use crate::telemetry::request_log::RequestLog;
 use crate::transport::datagram::DatagramSocket;
 use crate::transport::server::OwnerRequestHandler;
@@ -133,6 +134,8 @@
         budget: ByteBudget,
     ) -> eyre::Result<Self> {
         let settings = Arc::new(settings);
+        let metrics = SidecarMetrics::new().with_budget(&budget);
+        let store = ObservedStore::new(store, metrics.store.clone());
         let former = read_former_process(&store, &settings.node).await;
         let member = member_record(&settings, &former);
         log::info!(
@@ -142,7 +145,6 @@
         );
         let (listener, socket) = bind_peers(settings.peers).await?;
         let fleet = Arc::new(FleetState::new(member.clone()));
-        let metrics = SidecarMetrics::new().with_budget(&budget);
         let registry = upstream_registry(&settings, &former);
         let slots = SlotQueue::new();
         let gate = RangeGate::default();
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -10,6 +10,7 @@
 //! Offsets are therefore those of [`era`], which go on rising.
 
 pub mod era;
+pub mod observed;
 
 use std::time::Duration;
 
