tests: a configuration waits behind reads of the map at 300 sidecars

300 sidecars follow a store with the parts of the product, in virtual time, with the store's bandwidth for reads, its queue and the links of weak VMs. After 150 maps that all have received by datagram, one map that fits into no datagram and 120 owners that write make each sidecar read all of them anew.

--- /dev/null
+++ b/tests/testsuite/fleet_store_load.rs
@@ -0,0 +1,525 @@
+//! What a fleet of hundreds asks of the store, in virtual time.
+//!
+//! Every sidecar follows the store with the parts of the product. The store is
+//! simulated with its bandwidth, the queue beyond which it refuses reads, and the links
+//! of weak VMs. A call that is given up has still cost the store its bandwidth.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use buckthornwinch::base::boot_clock::since_boot;
+use buckthornwinch::base::ids::Incarnation;
+use buckthornwinch::base::ids::Offset;
+use buckthornwinch::base::ids::Version;
+use buckthornwinch::log::backoff::RetryBackoff;
+use buckthornwinch::peers::message::MemberRecord;
+use buckthornwinch::peers::message::PeerReport;
+use buckthornwinch::peers::message::UpstreamGauge;
+use buckthornwinch::ranges::map::RangeHolder;
+use buckthornwinch::ranges::map::RangeMap;
+use buckthornwinch::ranges::map::RangeVoter;
+use buckthornwinch::ranges::map::encode_map;
+use buckthornwinch::routes::configuration::CallerLimits;
+use buckthornwinch::routes::configuration::RouteConfiguration;
+use buckthornwinch::sidecar::fleet::FleetState;
+use buckthornwinch::sidecar::follow::MAP_KEY;
+use buckthornwinch::sidecar::follow::MEMBER_PREFIX;
+use buckthornwinch::sidecar::follow::apply_fleet;
+use buckthornwinch::sidecar::follow::follow_topic;
+use buckthornwinch::store::StateStore;
+use buckthornwinch::store::StoreError;
+use buckthornwinch::store::StorePage;
+use buckthornwinch::store::StoreRecord;
+use buckthornwinch::store::StoreTopic;
+use bytes::Bytes;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+
+/// Sidecars of the fleet.
+const SIDECARS: usize = 300;
+
+/// Sidecars that own keys and write the map.
+const OWNERS: usize = 120;
+
+/// Time within which an acknowledged configuration must be in force.
+const CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Bytes a second that all reads of the store share.
+const READ_RATE: f64 = 80e6;
+
+/// Longest queue of the store; calls beyond it are refused.
+const MAX_QUEUE: Duration = Duration::from_secs(2);
+
+/// Bytes a second of a weak VM's link.
+const LINK_RATE: f64 = 2.5e6;
+
+/// Time of an append, and of a read without its bytes.
+const CALL_TIME: Duration = Duration::from_millis(4);
+
+/// Time after which a client gives up a call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Most bytes of records in a page of the store.
+const PAGE_BYTES: usize = 1024 * 1024;
+
+/// Time between two maps while upstreams are replaced one after the other.
+const MAP_INTERVAL: Duration = Duration::from_millis(80);
+
+const OLD_VERSION: Version = 1;
+const NEW_VERSION: Version = 2;
+
+#[derive(Default)]
+struct SimulatedTopic {
+    records: Vec<StoreRecord>,
+}
+
+impl SimulatedTopic {
+    fn end(&self) -> Offset {
+        self.records.len() as Offset
+    }
+
+    fn newest(&self) -> Vec<StoreRecord> {
+        let by_key: BTreeMap<&str, &StoreRecord> = self
+            .records
+            .iter()
+            .map(|record| (&*record.key, record))
+            .collect();
+        let mut records: Vec<StoreRecord> = by_key.into_values().cloned().collect();
+        records.sort_by_key(|record| record.offset);
+        records
+    }
+
+    fn since(&self, from: Offset) -> Vec<StoreRecord> {
+        let mut bytes = 0;
+        let follows = self.records.iter().skip(from as usize);
+        let page = follows.take_while(|record| {
+            let is_first = bytes == 0;
+            bytes += record_bytes(record);
+            is_first || bytes <= PAGE_BYTES
+        });
+        page.cloned().collect()
+    }
+}
+
+fn record_bytes(record: &StoreRecord) -> usize {
+    record.key.len() + record.value.len() + 5
+}
+
+#[derive(Default)]
+struct StoreState {
+    operator: SimulatedTopic,
+    fleet: SimulatedTopic,
+    /// When the store has sent all that it was asked for.
+    busy_until: Option<Instant>,
+    refused: u64,
+    timed_out: u64,
+    sent_bytes: u64,
+}
+
+impl StoreState {
+    fn topic(&mut self, topic: StoreTopic) -> &mut SimulatedTopic {
+        match topic {
+            StoreTopic::Operator => &mut self.operator,
+            StoreTopic::Fleet => &mut self.fleet,
+        }
+    }
+
+    fn put(&mut self, topic: StoreTopic, key: &str, value: Bytes) -> Offset {
+        let topic = self.topic(topic);
+        let offset = topic.end();
+        topic.records.push(StoreRecord {
+            offset,
+            key: key.into(),
+            value,
+        });
+        offset
+    }
+}
+
+/// The store, as one sidecar reaches it.
+#[derive(Clone)]
+struct SimulatedStore {
+    state: Arc<Mutex<StoreState>>,
+    appended: Arc<Notify>,
+    /// When the sidecar's link has carried all that the store sends.
+    link_until: Arc<Mutex<Option<Instant>>>,
+}
+
+impl SimulatedStore {
+    fn new() -> Self {
+        Self {
+            state: Arc::default(),
+            appended: Arc::default(),
+            link_until: Arc::default(),
+        }
+    }
+
+    fn for_sidecar(&self) -> Self {
+        Self {
+            link_until: Arc::default(),
+            ..self.clone()
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().expect("no test thread has panicked")
+    }
+
+    fn put(&self, topic: StoreTopic, key: &str, value: Bytes) -> Offset {
+        let offset = self.state().put(topic, key, value);
+        self.appended.notify_waiters();
+        offset
+    }
+
+    /// Sends a page through the store's queue and the sidecar's link.
+    async fn send(&self, records: Vec<StoreRecord>, next: Offset, end: Offset) -> StoreResult {
+        let bytes: usize = records.iter().map(record_bytes).sum();
+        let now = Instant::now();
+        let sent = {
+            let mut state = self.state();
+            let begin = state.busy_until.map_or(now, |until| until.max(now));
+            if begin - now > MAX_QUEUE {
+                state.refused += 1;
+                return Err(StoreError::Refused("status 503: try later".into()));
+            }
+            state.sent_bytes += bytes as u64;
+            let sent = begin + Duration::from_secs_f64(bytes as f64 / READ_RATE);
+            state.busy_until = Some(sent);
+            sent
+        };
+        let received = {
+            let mut link_until = self.link_until.lock().expect("no test thread has panicked");
+            let begin = link_until.map_or(sent, |until| until.max(sent));
+            let received = begin + Duration::from_secs_f64(bytes as f64 / LINK_RATE);
+            *link_until = Some(received.min(now + CALL_TIMEOUT).max(begin));
+            received
+        };
+        if received > now + CALL_TIMEOUT {
+            sleep_until(now + CALL_TIMEOUT).await;
+            self.state().timed_out += 1;
+            return Err(StoreError::Unknown("timed out".into()));
+        }
+        sleep_until(received + CALL_TIME).await;
+        Ok(StorePage { records, next, end })
+    }
+}
+
+type StoreResult = Result<StorePage, StoreError>;
+
+impl StateStore for SimulatedStore {
+    async fn newest(&self, topic: StoreTopic) -> StoreResult {
+        let (records, end) = {
+            let mut state = self.state();
+            let topic = state.topic(topic);
+            (topic.newest(), topic.end())
+        };
+        self.send(records, end, end).await
+    }
+
+    async fn read(&self, topic: StoreTopic, from: Offset, wait: Duration) -> StoreResult {
+        let until = Instant::now() + wait;
+        loop {
+            let appended = self.appended.notified();
+            let (records, end) = {
+                let mut state = self.state();
+                let topic = state.topic(topic);
+                (topic.since(from), topic.end())
+            };
+            let left = until.saturating_duration_since(Instant::now());
+            if !records.is_empty() || left.is_zero() {
+                let next = from + records.len() as Offset;
+                return self.send(records, next, end).await;
+            }
+            drop(timeout(left, appended).await);
+        }
+    }
+
+    async fn append(
+        &self,
+        topic: StoreTopic,
+        key: &str,
+        value: Bytes,
+        at: Option<Offset>,
+    ) -> Result<Offset, StoreError> {
+        sleep(CALL_TIME).await;
+        let end = self.state().topic(topic).end();
+        if at.is_some_and(|at| at != end) {
+            return Err(StoreError::Conflict);
+        }
+        Ok(self.put(topic, key, value))
+    }
+}
+
+fn incarnation(number: usize) -> Incarnation {
+    1 + number as Incarnation
+}
+
+fn member(number: usize) -> MemberRecord {
+    MemberRecord {
+        incarnation: incarnation(number),
+        node: format!("sidecar-zone-{number:03}").into(),
+        address: ([127, 0, 0, 1], 1 + number as u16).into(),
+        service: "orders".into(),
+        domain: "zone".into(),
+    }
+}
+
+fn announce(store: &SimulatedStore, number: usize) {
+    let member = member(number);
+    let key = format!("{MEMBER_PREFIX}{}", member.node);
+    let value = postcard::to_stdvec(&member).expect("a member can be encoded");
+    store.put(StoreTopic::Fleet, &key, value.into());
+}
+
+fn report_of(number: usize) -> PeerReport {
+    PeerReport {
+        incarnation: incarnation(number),
+        member: Some(member(number)),
+        sequence: 1,
+        gauge: UpstreamGauge::default(),
+        configuration: 0,
+        map: 0,
+        evacuations: 0,
+        era: 0,
+        leaving: false,
+        restricted: Vec::new(),
+        departures: Vec::new(),
+    }
+}
+
+/// Returns a map in which every owner has voters.
+fn full_map() -> RangeMap {
+    let voter = |number: usize| RangeVoter {
+        incarnation: incarnation(number),
+        address: member(number).address,
+    };
+    let holder = |number: usize| RangeHolder {
+        incarnation: incarnation(number),
+        address: member(number).address,
+        service: "orders".into(),
+        domain: "zone".into(),
+        term: 1,
+        voters: (number + 1..number + 4).map(voter).collect(),
+    };
+    RangeMap {
+        holders: (0..OWNERS).map(holder).collect(),
+        services: Vec::new(),
+    }
+}
+
+fn configuration(version: Version) -> RouteConfiguration {
+    RouteConfiguration {
+        version,
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 1_000_000,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+        hosts: Vec::new(),
+        services: Vec::new(),
+    }
+}
+
+struct SimulatedFleet {
+    store: SimulatedStore,
+    sidecars: Arc<[Arc<FleetState>]>,
+    map: RangeMap,
+}
+
+impl SimulatedFleet {
+    /// Starts sidecars that know each other and follow the store, which has their
+    /// member records, a map and a configuration.
+    async fn start() -> Self {
+        let store = SimulatedStore::new();
+        let map = full_map();
+        for number in 0..SIDECARS {
+            announce(&store, number);
+        }
+        let written = encode_map(map.clone(), SIDECARS as Offset);
+        store.put(StoreTopic::Fleet, MAP_KEY, written.into());
+        publish(&store, OLD_VERSION);
+        let sidecars: Arc<[Arc<FleetState>]> = (0..SIDECARS)
+            .map(|number| Arc::new(FleetState::new(member(number))))
+            .collect();
+        for sidecar in sidecars.iter() {
+            introduce_all(sidecar);
+            follow_store(&store.for_sidecar(), sidecar);
+        }
+        sleep(Duration::from_secs(5)).await;
+        Self {
+            store,
+            sidecars,
+            map,
+        }
+    }
+
+    /// Writes maps for a time. All sidecars learn each of them by datagram.
+    async fn write_maps(&self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            let base = self.sidecars[0].map().offset;
+            let at = self.put_map();
+            deliver_edit(&self.sidecars, &self.map, base, at);
+            sleep(MAP_INTERVAL).await;
+        }
+    }
+
+    fn put_map(&self) -> Offset {
+        let at = self.store.state().fleet.end();
+        let written = encode_map(self.map.clone(), at);
+        self.store.put(StoreTopic::Fleet, MAP_KEY, written.into())
+    }
+
+    /// Writes a map whose edit fits into no datagram. All sidecars find within a time that
+    /// their peers know it.
+    fn write_large_edit(&self, time: Duration) {
+        self.put_map();
+        for sidecar in self.sidecars.iter() {
+            let sidecar = Arc::clone(sidecar);
+            let found = time.mul_f64(rand::random());
+            tokio::spawn(async move {
+                sleep(found).await;
+                sidecar.fleet_read_request.notify_one();
+            });
+        }
+    }
+
+    /// Lets each owner write one change of the map; returns their tasks.
+    fn write_by_owners(&self) -> Vec<tokio::task::JoinHandle<()>> {
+        let write = |sidecar: &Arc<FleetState>| {
+            let store = self.store.for_sidecar();
+            let sidecars = Arc::clone(&self.sidecars);
+            let map = self.map.clone();
+            tokio::spawn(write_change(store, Arc::clone(sidecar), sidecars, map))
+        };
+        self.sidecars.iter().take(OWNERS).map(write).collect()
+    }
+
+    /// Returns how many sidecars do not have a version in force.
+    fn without(&self, version: Version) -> usize {
+        let sidecars = self.sidecars.iter();
+        sidecars
+            .filter(|sidecar| sidecar.configuration_version() < version)
+            .count()
+    }
+
+    fn summary(&self) -> String {
+        let state = self.store.state();
+        format!(
+            "{} reads refused, {} given up, {} MB sent",
+            state.refused,
+            state.timed_out,
+            state.sent_bytes / 1_000_000
+        )
+    }
+}
+
+fn publish(store: &SimulatedStore, version: Version) {
+    let value = Bytes::copy_from_slice(&version.to_be_bytes());
+    store.put(StoreTopic::Operator, "config", value);
+}
+
+fn introduce_all(sidecar: &FleetState) {
+    let mut directory = sidecar.directory();
+    for number in 0..SIDECARS {
+        directory.record_report(report_of(number), since_boot());
+    }
+}
+
+fn follow_store(store: &SimulatedStore, sidecar: &Arc<FleetState>) {
+    let applied = Arc::clone(sidecar);
+    tokio::spawn(follow_topic(
+        store.clone(),
+        StoreTopic::Operator,
+        Arc::clone(sidecar),
+        move |page, _is_whole| {
+            for record in &page.records {
+                let version = record.value[..].try_into().expect("eight bytes");
+                applied.offer_configuration(configuration(Version::from_be_bytes(version)), "test");
+            }
+        },
+    ));
+    let applied = Arc::clone(sidecar);
+    tokio::spawn(follow_topic(
+        store.clone(),
+        StoreTopic::Fleet,
+        Arc::clone(sidecar),
+        move |page, _is_whole| apply_fleet(&applied, page),
+    ));
+}
+
+/// Delivers the datagram with an edit of the map at `base` to all sidecars.
+fn deliver_edit(sidecars: &[Arc<FleetState>], map: &RangeMap, base: Offset, at: Offset) {
+    for sidecar in sidecars {
+        if sidecar.map().offset == base {
+            sidecar.offer_map(map.clone(), at);
+            sidecar.advance_end(at + 1);
+        }
+    }
+}
+
+/// Writes a change of the map as owners do: after a conflict only once the topic is
+/// known to go on.
+async fn write_change(
+    store: SimulatedStore,
+    sidecar: Arc<FleetState>,
+    sidecars: Arc<[Arc<FleetState>]>,
+    map: RangeMap,
+) {
+    let mut backoff = RetryBackoff::new(Duration::from_millis(15), Duration::from_secs(1));
+    let mut conflicted = None;
+    loop {
+        let Some(at) = sidecar
+            .fleet_topic_end()
+            .filter(|at| Some(*at) > conflicted)
+        else {
+            sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let base = sidecar.map().offset;
+        let written = encode_map(map.clone(), at).into();
+        match store
+            .append(StoreTopic::Fleet, MAP_KEY, written, Some(at))
+            .await
+        {
+            Ok(offset) => {
+                deliver_edit(&sidecars, &map, base, offset);
+                return;
+            }
+            Err(_conflict) => {
+                conflicted = Some(at);
+                sidecar.fleet_read_request.notify_one();
+                sleep(backoff.next_wait()).await;
+            }
+        }
+    }
+}
+
+/// Guards against sidecars that read all maps anew that they have received by datagram,
+/// until the store's bandwidth is used up and no configuration gets through.
+#[tokio::test(start_paused = true)]
+async fn a_configuration_does_not_wait_behind_reads_of_maps_that_arrived_by_datagram() {
+    let fleet = SimulatedFleet::start().await;
+    fleet.write_maps(Duration::from_secs(12)).await;
+
+    fleet.write_large_edit(Duration::from_secs(2));
+    let writers = fleet.write_by_owners();
+    sleep(Duration::from_secs(4)).await;
+    publish(&fleet.store, NEW_VERSION);
+    sleep(CONFIGURATION_TIMEOUT).await;
+
+    let waiting = writers.iter().filter(|writer| !writer.is_finished());
+    assert_eq!(
+        (fleet.without(NEW_VERSION), waiting.count()),
+        (0, 0),
+        "late sidecars and owners that cannot write; {}",
+        fleet.summary()
+    );
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod faulty_upstream;
 mod figures;
 mod fleet_configuration;
+mod fleet_store_load;
 mod fold;
 mod handover;
 mod heartbeat_walk;
