store: read the fleet's topic from the newest known map on

What callers saw: on the site of 296 VMs two configurations in a row were in force 3.0 and 3.4 s late at all sidecars, and from then on most requests for sharded services were rejected, as no map was written any more.

Cause: a read of the fleet's topic started at the offset last read. Maps arrive by datagram, so at 300 members that was minutes ago: after a conflict or a missed edit a sidecar asked for all maps since, 1 MB of history in a page, of which one record counts. 300 sidecars did so at once. The store's bandwidth for reads, which the operator's topic shares, was used up; answers came after they had been given up, and were asked for again.

Evidence: a play with calls logged has pages of the fleet's topic of 1,013 to 1,040 kB for 38 records while the map has 35 kB; 200 sidecars time out at the fleet's topic, and the operator's records reach 328 sidecars within 30 ms of each other, 3 s late. fleet_store_load, 300 sidecars in virtual time, failed: 300 late, 117 of 120 owners unable to write, 1,412 reads refused, 1,078 given up, 726 MB sent by the store.

A read now starts after the newest known map. A page has 128 KiB at most; if the topic goes on, the newest record of each key is read instead of the rest, and so it is at long intervals if records were skipped, as members' records may be among them. The same test: none late, all write, 36 MB sent, none refused or given up.

--- a/crates/winch-standin/src/store_standin.rs
+++ b/crates/winch-standin/src/store_standin.rs
@@ -4,7 +4,7 @@
 //! | call | response |
 //! | --- | --- |
 //! | `POST /log-append?topic=T&part=0[&at=N]`, records | 200 `{"offset": n, "endOffset": m}`, 412 if the topic does not end at `N` |
-//! | `GET /log-read?topic=T&part=0&from=N[&waitMs=K]` | 200 end offset, first offset kept, records; 410 `{"firstOffset": n}` if `N` is no longer kept or beyond the end |
+//! | `GET /log-read?topic=T&part=0&from=N[&maxKb=K][&waitMs=W]` | 200 end offset, first offset kept, records; 410 `{"firstOffset": n}` if `N` is no longer kept or beyond the end |
 //! | `GET /log-newest?topic=T&part=0` | 200 `{"items": [...], "more": false, "endOffset": n}` |
 //!
 //! Each response names the store's era in `store-era`. It rises by one when the store
@@ -119,10 +119,16 @@
     at: Option<usize>,
     #[serde(default)]
     from: usize,
+    #[serde(default = "default_max_kb")]
+    max_kb: usize,
     #[serde(default)]
     wait_ms: u64,
 }
 
+fn default_max_kb() -> usize {
+    1024
+}
+
 type StoreResponse = Response<Bytes>;
 
 impl StoreStandin {
@@ -337,9 +343,9 @@
     }
 }
 
-/// Returns the records from the requested offset on, or a 410 if they were
-/// truncated or the topic does not reach that far. Returns `None` if there are none
-/// yet.
+/// Returns the records from the requested offset on, as many as the requested size
+/// allows and at least one, or a 410 if they were truncated or the topic does not reach
+/// that far. Returns `None` if there are none yet.
 fn read_now(state: &mut StoreState, query: &StoreQuery) -> Option<StoreResponse> {
     let topic = state.topics.get(&query.topic)?;
     if query.from < topic.first_kept || query.from > topic.records.len() {
@@ -350,7 +356,12 @@
         return None;
     }
     let mut body = read_head(topic.records.len(), topic.first_kept);
+    let head = body.len();
     for (key, value) in &topic.records[query.from..] {
+        let size = 5 + key.len() + value.len();
+        if body.len() > head && body.len() - head + size > query.max_kb * 1024 {
+            break;
+        }
         body.put_u32((1 + key.len() + value.len()) as u32);
         body.put_u8(key.len() as u8);
         body.put_slice(key.as_bytes());
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -3,7 +3,9 @@
 //! Store calls cost money, so they are kept few. The operator's topic is read
 //! with long polls, about one per change. The fleet's topic is read at start,
 //! after a conflict and at long intervals, because the writer of a map change
-//! also sends it to its peers directly.
+//! also sends it to its peers directly. It then starts after the newest known map, and
+//! now and then returns the newest record of each key, so that what was skipped is not
+//! missed for good.
 //!
 //! A connection to the store may go silent without an error, on all sidecars at
 //! once if the store itself was silent. The oldest sidecars therefore read the
@@ -15,6 +17,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use super::fleet::FleetState;
@@ -36,6 +39,7 @@
 use crate::store::StorePage;
 use crate::store::StoreRecord;
 use crate::store::StoreTopic;
+use crate::store::cursor::TopicCursor;
 use crate::store::era::era_of;
 use crate::transport::state::fetch_encoded_state;
 
@@ -96,11 +100,17 @@
     fleet: Arc<FleetState>,
     apply: impl Fn(&StorePage, bool),
 ) {
-    let mut next: Option<Offset> = None;
+    let mut cursor = TopicCursor::default();
+    // When records that were skipped are to be made up for.
+    let mut newest_due = Instant::now();
     let mut backoff = RetryBackoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
     loop {
         let is_watcher = topic == StoreTopic::Operator && fleet.is_operator_watcher();
-        let reading = read_next(&store, topic, next, is_watcher);
+        if cursor.has_skipped() && Instant::now() >= newest_due {
+            cursor.reset();
+        }
+        let from = cursor.skip_to(known_until(topic, &fleet));
+        let reading = read_next(&store, topic, from, is_watcher);
         let result = tokio::select! {
             result = reading => result,
             () = until_watcher(&fleet), if topic == StoreTopic::Operator && !is_watcher => continue,
@@ -114,8 +124,11 @@
                 }
                 backoff.reset();
                 fleet.observe_era(era_of(page.end));
-                let is_whole = next.is_none();
-                next = Some(page.next);
+                let is_whole = from.is_none();
+                if is_whole {
+                    newest_due = Instant::now() + fleet_read_pause(&fleet);
+                }
+                cursor.advance(&page);
                 apply(&page, is_whole);
                 if topic == StoreTopic::Fleet && is_whole && !has_own_member(&fleet, &page) {
                     fleet.announce_request.notify_one();
@@ -125,8 +138,8 @@
                 }
             }
             Err(StoreError::Expired) => {
-                log::info!(topic:? = topic, from = next; "store: records from this offset have expired, reading the newest ones");
-                next = None;
+                log::info!(topic:? = topic, from = from; "store: records from this offset have expired, reading the newest ones");
+                cursor.reset();
             }
             Err(error) => {
                 fleet.record_store_failure();
@@ -149,16 +162,25 @@
     member.is_some_and(|member| member.incarnation >= own.incarnation)
 }
 
+/// Returns the offset before which the records of a topic are known from elsewhere or
+/// superseded by what is known: maps also arrive by datagram, and members introduce
+/// themselves. 0 for none.
+fn known_until(topic: StoreTopic, fleet: &FleetState) -> Offset {
+    match topic {
+        StoreTopic::Operator => 0,
+        StoreTopic::Fleet => match fleet.map().offset {
+            0 => 0,
+            map => map + 1,
+        },
+    }
+}
+
 /// Waits before the next read, unless one is requested earlier.
 async fn pause(topic: StoreTopic, fleet: &FleetState, was_empty: bool) {
     let wait = match topic {
         StoreTopic::Operator if was_empty => return,
         StoreTopic::Operator => OPERATOR_READ_PAUSE,
-        StoreTopic::Fleet => {
-            let members = fleet.directory().count() as u32;
-            let mean = FLEET_READ_PAUSE.0 + FLEET_READ_PAUSE.1 * members;
-            mean.mul_f64(rand::rng().random_range(0.7..=1.3))
-        }
+        StoreTopic::Fleet => fleet_read_pause(fleet),
     };
     tokio::select! {
         () = sleep(wait) => {}
@@ -166,6 +188,13 @@
     }
 }
 
+/// Returns a random pause between two reads of the fleet's topic.
+fn fleet_read_pause(fleet: &FleetState) -> Duration {
+    let members = fleet.directory().count() as u32;
+    let mean = FLEET_READ_PAUSE.0 + FLEET_READ_PAUSE.1 * members;
+    mean.mul_f64(rand::rng().random_range(0.7..=1.3))
+}
+
 /// Waits until this sidecar is a watcher.
 async fn until_watcher(fleet: &FleetState) {
     while !fleet.is_operator_watcher() {
@@ -173,15 +202,15 @@
     }
 }
 
-/// Reads from offset `next` on, or the newest record of each key if `next` is
+/// Reads from offset `from` on, or the newest record of each key if `from` is
 /// `None`.
 async fn read_next<S: StateStore>(
     store: &S,
     topic: StoreTopic,
-    next: Option<Offset>,
+    from: Option<Offset>,
     is_watcher: bool,
 ) -> Result<StorePage, StoreError> {
-    match next {
+    match from {
         Some(from) => {
             let wait = match topic {
                 StoreTopic::Operator if is_watcher => WATCHER_POLL_WAIT,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -9,6 +9,7 @@
 //! Rarely, a store loses what it has acknowledged: it comes back from an older copy.
 //! Offsets are therefore those of [`era`], which go on rising.
 
+pub mod cursor;
 pub mod era;
 pub mod observed;
 
@@ -18,6 +19,9 @@
 
 use crate::base::ids::Offset;
 
+/// Maximum size of the records that a read from an offset returns, in bytes.
+pub const MAX_PAGE_BYTES: usize = 128 * 1024;
+
 /// The topics that this program uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum StoreTopic {
@@ -94,8 +98,9 @@
         topic: StoreTopic,
     ) -> impl Future<Output = Result<StorePage, StoreError>> + Send;
 
-    /// Returns the records from the offset `from` on. Waits up to `wait` until
-    /// there is at least one.
+    /// Returns the records from the offset `from` on, up to [`MAX_PAGE_BYTES`] of them.
+    /// Waits up to `wait` until there is at least one. A record that alone exceeds the
+    /// maximum may be left out.
     ///
     /// # Errors
     ///
--- a/tests/testsuite/fleet_store_load.rs
+++ b/tests/testsuite/fleet_store_load.rs
@@ -29,6 +29,7 @@
 use buckthornwinch::sidecar::follow::MEMBER_PREFIX;
 use buckthornwinch::sidecar::follow::apply_fleet;
 use buckthornwinch::sidecar::follow::follow_topic;
+use buckthornwinch::store::MAX_PAGE_BYTES;
 use buckthornwinch::store::StateStore;
 use buckthornwinch::store::StoreError;
 use buckthornwinch::store::StorePage;
@@ -65,9 +66,6 @@
 /// Time after which a client gives up a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Most bytes of records in a page of the store.
-const PAGE_BYTES: usize = 1024 * 1024;
-
 /// Time between two maps while upstreams are replaced one after the other.
 const MAP_INTERVAL: Duration = Duration::from_millis(80);
 
@@ -101,7 +99,7 @@
         let page = follows.take_while(|record| {
             let is_first = bytes == 0;
             bytes += record_bytes(record);
-            is_first || bytes <= PAGE_BYTES
+            is_first || bytes <= MAX_PAGE_BYTES
         });
         page.cloned().collect()
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -89,6 +89,7 @@
 mod soak;
 mod standins;
 mod telemetry;
+mod topic_cursor;
 mod transport_frames;
 mod transport_link;
 mod upstream_call;
