follow: let a read of the fleet's topic finish before the next

Cause: each request to read the fleet's topic, after a conflict or by a sidecar that stays behind, gave up the read in progress and began another at once. The store does what was given up all the same, so that conflicts multiplied the bytes it had to send while it was short of them. That way out is for reads that wait for news on a connection that may be silent; a read of the fleet's topic ends within 1.5 s.

A request during a read still leads to one after it, since the read may not show what the request is about.

--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -114,8 +114,9 @@
         let result = tokio::select! {
             result = reading => result,
             () = until_watcher(&fleet), if topic == StoreTopic::Operator && !is_watcher => continue,
-            // Starts a new read on another connection, as this one may be silent.
-            () = fleet.request_read(topic).notified() => continue,
+            // Starts a new read on another connection, as this one may be silent. A read
+            // that does not wait for news ends soon, and the store would do it twice.
+            () = fleet.request_read(topic).notified(), if topic == StoreTopic::Operator => continue,
         };
         match result {
             Ok(page) => {
--- a/tests/testsuite/fleet_store_load.rs
+++ b/tests/testsuite/fleet_store_load.rs
@@ -115,6 +115,10 @@
     fleet: SimulatedTopic,
     /// When the store has sent all that it was asked for.
     busy_until: Option<Instant>,
+    /// Whether reads of the fleet's topic are refused.
+    refuses_fleet: bool,
+    /// Reads of the fleet's topic.
+    fleet_reads: u64,
     refused: u64,
     timed_out: u64,
     sent_bytes: u64,
@@ -175,6 +179,20 @@
         offset
     }
 
+    /// Counts a read; returns the error if it is refused.
+    async fn begin_read(&self, topic: StoreTopic) -> Result<(), StoreError> {
+        let is_refused = {
+            let mut state = self.state();
+            state.fleet_reads += u64::from(topic == StoreTopic::Fleet);
+            state.refuses_fleet && topic == StoreTopic::Fleet
+        };
+        if is_refused {
+            sleep(CALL_TIME).await;
+            return Err(StoreError::Refused("status 503".into()));
+        }
+        Ok(())
+    }
+
     /// Sends a page through the store's queue and the sidecar's link.
     async fn send(&self, records: Vec<StoreRecord>, next: Offset, end: Offset) -> StoreResult {
         let bytes: usize = records.iter().map(record_bytes).sum();
@@ -212,6 +230,7 @@
 
 impl StateStore for SimulatedStore {
     async fn newest(&self, topic: StoreTopic) -> StoreResult {
+        self.begin_read(topic).await?;
         let (records, end) = {
             let mut state = self.state();
             let topic = state.topic(topic);
@@ -221,6 +240,7 @@
     }
 
     async fn read(&self, topic: StoreTopic, from: Offset, wait: Duration) -> StoreResult {
+        self.begin_read(topic).await?;
         let until = Instant::now() + wait;
         loop {
             let appended = self.appended.notified();
@@ -521,3 +541,23 @@
         fleet.summary()
     );
 }
+
+/// Guards against reads that are begun anew at each request for one, while the store
+/// does those that were given up all the same.
+#[tokio::test(start_paused = true)]
+async fn a_read_of_the_map_in_progress_is_not_begun_anew_when_another_is_requested() {
+    let store = SimulatedStore::new();
+    announce(&store, 0);
+    let sidecar = Arc::new(FleetState::new(member(0)));
+    store.state().busy_until = Some(Instant::now() + Duration::from_secs(1));
+    follow_store(&store, &sidecar);
+
+    for _request in 0..9 {
+        sleep(Duration::from_millis(100)).await;
+        sidecar.fleet_read_request.notify_one();
+    }
+    sleep(Duration::from_secs(1)).await;
+
+    let reads = store.state().fleet_reads;
+    assert_eq!(reads, 2, "the first read, and one for all requests");
+}
