follow: bound the retries of a fleet's reads together

Cause: after a failure each sidecar reads the fleet's topic again within 0.8 s, whatever the fleet's size, while the pages that it asks for grow with the fleet.

Above 100 members the longest wait grows with them. Reads of the operator's topic, which are small and on which configurations depend, are retried as before.

Innocent sidecars see the topic again up to 2.4 s after the store is back at 300 members, 0.8 s before; edits and peers' states reach them meanwhile.

--- a/src/log/backoff.rs
+++ b/src/log/backoff.rs
@@ -23,6 +23,11 @@
         }
     }
 
+    /// Replaces the limit of the waits.
+    pub fn set_limit(&mut self, limit: Duration) {
+        self.limit = limit;
+    }
+
     /// Resets the number of failures after a success.
     pub fn reset(&mut self) {
         self.failures = 0;
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -57,6 +57,11 @@
 /// First and maximum wait after a failed call.
 const RETRY_BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(800));
 
+/// Addition to the maximum wait after a failed read of the fleet's topic, per member. A
+/// fleet of any size then retries about as often: its pages grow with the fleet, and the
+/// store that cannot send them in time must not be asked for more of them.
+const FLEET_RETRY_WAIT_PER_MEMBER: Duration = Duration::from_millis(8);
+
 /// Pause after a read of the operator's topic that returned records: of several
 /// changes in quick succession only the last one matters. Short compared with
 /// the seconds within which a change must take effect.
@@ -147,12 +152,21 @@
                 if backoff.failures() == 0 {
                     log::warn!(topic:? = topic, error:% = error; "store: lost");
                 }
+                if topic == StoreTopic::Fleet {
+                    backoff.set_limit(fleet_retry_limit(&fleet));
+                }
                 sleep(backoff.next_wait()).await;
             }
         }
     }
 }
 
+/// Returns the maximum wait after a failed read of the fleet's topic.
+fn fleet_retry_limit(fleet: &FleetState) -> Duration {
+    let members = fleet.directory().count() as u32;
+    RETRY_BACKOFF.1.max(FLEET_RETRY_WAIT_PER_MEMBER * members)
+}
+
 /// Returns whether the newest records include the member record of this sidecar. A
 /// store that has come back from a copy may have lost it.
 fn has_own_member(fleet: &FleetState, page: &StorePage) -> bool {
--- a/tests/testsuite/fleet_store_load.rs
+++ b/tests/testsuite/fleet_store_load.rs
@@ -354,20 +354,20 @@
 impl SimulatedFleet {
     /// Starts sidecars that know each other and follow the store, which has their
     /// member records, a map and a configuration.
-    async fn start() -> Self {
+    async fn start(count: usize) -> Self {
         let store = SimulatedStore::new();
         let map = full_map();
-        for number in 0..SIDECARS {
+        for number in 0..count {
             announce(&store, number);
         }
-        let written = encode_map(map.clone(), SIDECARS as Offset);
+        let written = encode_map(map.clone(), count as Offset);
         store.put(StoreTopic::Fleet, MAP_KEY, written.into());
         publish(&store, OLD_VERSION);
-        let sidecars: Arc<[Arc<FleetState>]> = (0..SIDECARS)
+        let sidecars: Arc<[Arc<FleetState>]> = (0..count)
             .map(|number| Arc::new(FleetState::new(member(number))))
             .collect();
         for sidecar in sidecars.iter() {
-            introduce_all(sidecar);
+            introduce_all(sidecar, count);
             follow_store(&store.for_sidecar(), sidecar);
         }
         sleep(Duration::from_secs(5)).await;
@@ -444,9 +444,9 @@
     store.put(StoreTopic::Operator, "config", value);
 }
 
-fn introduce_all(sidecar: &FleetState) {
+fn introduce_all(sidecar: &FleetState, count: usize) {
     let mut directory = sidecar.directory();
-    for number in 0..SIDECARS {
+    for number in 0..count {
         directory.record_report(report_of(number), since_boot());
     }
 }
@@ -524,7 +524,7 @@
 /// until the store's bandwidth is used up and no configuration gets through.
 #[tokio::test(start_paused = true)]
 async fn a_configuration_does_not_wait_behind_reads_of_maps_that_arrived_by_datagram() {
-    let fleet = SimulatedFleet::start().await;
+    let fleet = SimulatedFleet::start(SIDECARS).await;
     fleet.write_maps(Duration::from_secs(12)).await;
 
     fleet.write_large_edit(Duration::from_secs(2));
@@ -561,3 +561,32 @@
     let reads = store.state().fleet_reads;
     assert_eq!(reads, 2, "the first read, and one for all requests");
 }
+
+/// Returns how many reads of the fleet's topic a fleet begins in a second while the store
+/// refuses them.
+async fn retries_per_second(sidecars: usize) -> u64 {
+    let fleet = SimulatedFleet::start(sidecars).await;
+    fleet.store.state().refuses_fleet = true;
+    for sidecar in fleet.sidecars.iter() {
+        sidecar.fleet_read_request.notify_one();
+    }
+    sleep(Duration::from_secs(30)).await;
+    let before = fleet.store.state().fleet_reads;
+    sleep(Duration::from_secs(10)).await;
+    let after = fleet.store.state().fleet_reads;
+    (after - before) / 10
+}
+
+/// Guards against retries that grow with the fleet, like the pages that they ask for.
+#[tokio::test(start_paused = true)]
+async fn a_larger_fleet_does_not_ask_a_store_that_fails_more_often() {
+    let of_100 = retries_per_second(100).await;
+
+    let of_300 = retries_per_second(300).await;
+
+    // A tenth for the random waits.
+    assert!(
+        of_300 <= of_100 * 11 / 10,
+        "{of_300} a second of 300 sidecars, {of_100} of 100"
+    );
+}
