sidecar: read the store once at a start

Cause: each sidecar read the newest records of the fleet's topic before it announced itself and all of them again after that, and only then the operator's topic. What a fleet reads at a start grows with its square; answers that took longer than the start waits, 0.7 s, were thrown away and asked for again, and the configuration waited behind them.

Both topics are now read at once, each a single time. After its announcement a sidecar reads only what was appended since the first read, and skips none of it, so that of two sidecars that start together at least one still finds the other. A read that outlasts the start goes on, and its answer is used. A request for a read that comes during the one before it is served by the next one.

Evidence: tests failing before: 4 sidecars made 8 reads of the newest records of the fleet's topic, now 4; a start beside a store that takes 1 s made 2, now 1.

--- a/crates/winch-standin/src/store_standin.rs
+++ b/crates/winch-standin/src/store_standin.rs
@@ -90,6 +90,8 @@
     /// How often [`StoreFaults::silent`] was switched on.
     silent_periods: u64,
     calls: u64,
+    /// Reads of the newest records by topic, refused ones included.
+    newest_reads: HashMap<String, u64>,
     /// Appends that named another end than that of the topic.
     conflicts: u64,
     /// How often the store came back from a copy.
@@ -203,6 +205,13 @@
         lock(&self.state).calls
     }
 
+    /// Returns how often the newest records of a topic were asked for, refused calls
+    /// included.
+    pub fn newest_reads(&self, topic: &str) -> u64 {
+        let state = lock(&self.state);
+        state.newest_reads.get(topic).copied().unwrap_or_default()
+    }
+
     /// Returns how many conditional appends have conflicted.
     pub fn conflicts(&self) -> u64 {
         lock(&self.state).conflicts
@@ -377,8 +386,13 @@
     head
 }
 
+fn count_newest_read(state: &mut StoreState, topic: &str) {
+    *state.newest_reads.entry(topic.to_owned()).or_default() += 1;
+}
+
 async fn answer_newest(query: StoreQuery, shared: SharedState) -> StoreResponse {
     let (state, _appended) = shared;
+    count_newest_read(&mut lock(&state), &query.topic);
     if let Some(refused) = apply_read_faults(&state).await {
         return refused;
     }
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use rand::RngExt;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -23,6 +24,7 @@
 use super::fleet::FleetState;
 use super::quarantine::QUARANTINE_PREFIX;
 use super::quarantine::decode_verdict;
+use super::start_read::StartRead;
 use crate::base::boot_clock::since_boot;
 use crate::base::ids::Offset;
 use crate::base::timer::TimerService;
@@ -98,13 +100,19 @@
 }
 
 /// Reads `topic` until the process ends and passes each page to `apply`, with whether it
-/// has the newest records of all keys instead of those that follow the last page.
+/// has the newest records of all keys instead of those that follow the last page. Begins
+/// with the result of `first`, which was begun before this sidecar announced itself.
 pub async fn follow_topic<S: StateStore>(
     store: S,
     topic: StoreTopic,
     fleet: Arc<FleetState>,
+    first: StartRead,
     apply: impl Fn(&StorePage, bool),
 ) {
+    let mut first = Some(first);
+    // Whether the last page was the first one. Members that announced themselves since it
+    // was read may not know this sidecar, so that none of their records may be skipped.
+    let mut was_first = false;
     let mut cursor = TopicCursor::default();
     // When records that were skipped are to be made up for.
     let mut newest_due = Instant::now();
@@ -114,8 +122,20 @@
         if cursor.has_skipped() && Instant::now() >= newest_due {
             cursor.reset();
         }
-        let from = cursor.skip_to(known_until(topic, &fleet));
-        let reading = read_next(&store, topic, from, is_watcher);
+        let from = cursor.skip_to(if was_first {
+            0
+        } else {
+            known_until(topic, &fleet)
+        });
+        let is_first = first.is_some();
+        // The read that begins now serves all requests so far.
+        let _served = fleet.request_read(topic).notified().now_or_never();
+        let reading = async {
+            match first.take() {
+                Some(first) => first.finish().await,
+                None => read_next(&store, topic, from, is_watcher).await,
+            }
+        };
         let result = tokio::select! {
             result = reading => result,
             () = until_watcher(&fleet), if topic == StoreTopic::Operator && !is_watcher => continue,
@@ -134,12 +154,14 @@
                 if is_whole {
                     newest_due = Instant::now() + fleet_read_pause(&fleet);
                 }
+                was_first = is_first;
                 cursor.advance(&page);
                 apply(&page, is_whole);
-                if topic == StoreTopic::Fleet && is_whole && !has_own_member(&fleet, &page) {
+                let shows_announced = topic == StoreTopic::Fleet && is_whole && !is_first;
+                if shows_announced && !has_own_member(&fleet, &page) {
                     fleet.announce_request.notify_one();
                 }
-                if page.next >= page.end {
+                if page.next >= page.end && !is_first {
                     pause(topic, &fleet, page.records.is_empty()).await;
                 }
             }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -25,6 +25,7 @@
 //!   and how many retries this sidecar may send.
 //! * [`crash_watch`]: notices crashes of the local upstream.
 //! * [`quarantine`]: keeps requests that crash upstreams away from further ones.
+//! * [`start_read`]: what a sidecar reads in the store when it starts.
 //! * [`process`]: start and shutdown.
 //!
 //! Unlike [`crate::node`], a sidecar relies on the store for conditional
@@ -51,6 +52,7 @@
 pub mod retry_budget;
 pub mod retry_policy;
 pub mod settings;
+pub mod start_read;
 pub mod upstream;
 pub mod upstream_client;
 mod upstream_follower;
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -12,7 +12,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use super::controller::EVENT_QUEUE_CAPACITY;
@@ -38,6 +37,9 @@
 use super::quarantine::announce_crashes;
 use super::quarantine::store_verdicts;
 use super::settings::SidecarSettings;
+use super::start_read::FormerProcess;
+use super::start_read::StartRead;
+use super::start_read::StartReads;
 use super::upstream::LocalUpstreamRegistry;
 use super::upstream::UpstreamClient;
 use super::upstream_follower::UpstreamFollower;
@@ -50,7 +52,6 @@
 use crate::node::identity::next_incarnation;
 use crate::peers::message::MemberRecord;
 use crate::store::StateStore;
-use crate::store::StorePage;
 use crate::store::StoreTopic;
 use crate::store::observed::ObservedStore;
 use crate::telemetry::request_log::RequestLog;
@@ -58,10 +59,6 @@
 use crate::transport::server::OwnerRequestHandler;
 use crate::transport::server::PeerServer;
 
-/// Maximum wait for the store at start; after that, the sidecar starts without
-/// it.
-const STORE_START_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Interval of the slot queue's ticks, and of checks during a shutdown.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -136,15 +133,13 @@
         let settings = Arc::new(settings);
         let metrics = SidecarMetrics::new().with_budget(&budget);
         let store = ObservedStore::new(store, metrics.store.clone());
-        let former = read_former_process(&store, &settings.node).await;
+        let mut reads = StartReads::begin(&store);
+        let former = FormerProcess::find(&mut reads.fleet, &settings.node).await;
         let member = member_record(&settings, &former);
-        log::info!(
-            node = &*settings.node, incarnation = member.incarnation, former = former.incarnation,
-            service = &*settings.service, domain = &*settings.domain;
-            "process: starts"
-        );
+        log_start(&member, &former);
         let (listener, socket) = bind_peers(settings.peers).await?;
-        let fleet = Arc::new(FleetState::new(member.clone()));
+        let incarnation = member.incarnation;
+        let fleet = Arc::new(FleetState::new(member));
         let registry = upstream_registry(&settings, &former);
         let slots = SlotQueue::new();
         let gate = RangeGate::default();
@@ -173,8 +168,9 @@
             log,
         );
 
-        follow_store(&store, &fleet, &registry, decoder);
-        tokio::spawn(catch_up(Arc::clone(&fleet), TimerService));
+        follow_operator(&store, &fleet, reads.operator, decoder);
+        follow_fleet(&store, &fleet, reads.fleet, &registry);
+        share_state(&store, &fleet, &socket);
         let reports = ReportSender {
             socket: socket.clone(),
             fleet: Arc::clone(&fleet),
@@ -183,8 +179,6 @@
             leaving: leaving_watch.clone(),
         };
         tokio::spawn(reports.run());
-        tokio::spawn(announce_crashes(socket.clone(), Arc::clone(&fleet)));
-        tokio::spawn(store_verdicts(store.clone(), Arc::clone(&fleet)));
         let (sender, events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
         tokio::spawn(receive_datagrams(
             socket.clone(),
@@ -218,7 +212,7 @@
         tokio::spawn(controller.run());
         serve_upstream(&fleet, &registry, &slots, &metrics);
         tokio::spawn(follower.run());
-        serve_peers(listener, member.incarnation, owner, &settings, &budget);
+        serve_peers(listener, incarnation, owner, &settings, &budget);
 
         Ok(Self {
             dispatcher,
@@ -306,6 +300,14 @@
     tokio::spawn(peers.serve(listener, CancellationToken::new()));
 }
 
+/// Starts the tasks that fetch what peers know, and tell them and the store of requests
+/// that crash upstreams.
+fn share_state<S: StateStore>(store: &S, fleet: &Arc<FleetState>, socket: &DatagramSocket) {
+    tokio::spawn(catch_up(Arc::clone(fleet), TimerService));
+    tokio::spawn(announce_crashes(socket.clone(), Arc::clone(fleet)));
+    tokio::spawn(store_verdicts(store.clone(), Arc::clone(fleet)));
+}
+
 /// Binds the TCP listener and the datagram socket for other sidecars.
 async fn bind_peers(address: SocketAddr) -> eyre::Result<(TcpListener, DatagramSocket)> {
     let listener = TcpListener::bind(address).await.wrap_err_with(|| {
@@ -317,36 +319,6 @@
     Ok((listener, socket))
 }
 
-/// What the store has of the last process on this node.
-#[derive(Debug, Default)]
-struct FormerProcess {
-    incarnation: Option<Incarnation>,
-    /// The newest records of the fleet's topic; none if it cannot be read.
-    page: StorePage,
-}
-
-async fn read_former_process<S: StateStore>(store: &S, node: &str) -> FormerProcess {
-    let page = timeout(STORE_START_TIMEOUT, store.newest(StoreTopic::Fleet)).await;
-    let page = match page {
-        Ok(Ok(page)) => page,
-        Ok(Err(error)) => {
-            log::warn!(error:% = error; "process: cannot read the store, starting without it");
-            return FormerProcess::default();
-        }
-        Err(_elapsed) => {
-            log::warn!("process: the store did not respond in time, starting without it");
-            return FormerProcess::default();
-        }
-    };
-    let key = format!("{MEMBER_PREFIX}{node}");
-    let record = page.records.iter().find(|record| *record.key == *key);
-    let member = record.and_then(|record| postcard::from_bytes::<MemberRecord>(&record.value).ok());
-    FormerProcess {
-        incarnation: member.map(|member| member.incarnation),
-        page,
-    }
-}
-
 fn member_record(settings: &SidecarSettings, former: &FormerProcess) -> MemberRecord {
     MemberRecord {
         incarnation: next_incarnation(former.incarnation),
@@ -357,6 +329,14 @@
     }
 }
 
+fn log_start(member: &MemberRecord, former: &FormerProcess) {
+    log::info!(
+        node = &*member.node, incarnation = member.incarnation, former = former.incarnation,
+        service = &*member.service, domain = &*member.domain;
+        "process: starts"
+    );
+}
+
 /// Creates the registry of the upstream, with what the last process on this node knew.
 fn upstream_registry(settings: &SidecarSettings, former: &FormerProcess) -> LocalUpstreamRegistry {
     let registry = LocalUpstreamRegistry::new(settings.announce_interval);
@@ -368,14 +348,31 @@
     registry
 }
 
-/// Starts the readers of both topics, and the writer of departures. The fleet's topic is read only after this
-/// sidecar has announced itself there, so that of two sidecars that start
+/// Starts the reader of the operator's topic.
+fn follow_operator<S: StateStore, D: ConfigurationDecoder>(
+    store: &S,
+    fleet: &Arc<FleetState>,
+    first: StartRead,
+    decoder: D,
+) {
+    let applied = Arc::clone(fleet);
+    tokio::spawn(follow_topic(
+        store.clone(),
+        StoreTopic::Operator,
+        Arc::clone(fleet),
+        first,
+        move |page, is_whole| apply_operator(&applied, &decoder, page, is_whole),
+    ));
+}
+
+/// Starts the reader of the fleet's topic, and the writer of departures. The topic is read
+/// again after this sidecar has announced itself there, so that of two sidecars that start
 /// together at least one finds the other.
-fn follow_store<S: StateStore, D: ConfigurationDecoder>(
+fn follow_fleet<S: StateStore>(
     store: &S,
     fleet: &Arc<FleetState>,
+    first: StartRead,
     registry: &LocalUpstreamRegistry,
-    decoder: D,
 ) {
     let member = fleet.own();
     let departures = registry.departures().clone();
@@ -385,13 +382,6 @@
         departures,
     ));
     let applied = Arc::clone(fleet);
-    tokio::spawn(follow_topic(
-        store.clone(),
-        StoreTopic::Operator,
-        Arc::clone(fleet),
-        move |page, is_whole| apply_operator(&applied, &decoder, page, is_whole),
-    ));
-    let applied = Arc::clone(fleet);
     let registry = registry.clone();
     let announced = announce_member(store.clone(), member.clone());
     let again = announce_again(store.clone(), Arc::clone(fleet), member.clone());
@@ -399,6 +389,7 @@
         store.clone(),
         StoreTopic::Fleet,
         Arc::clone(fleet),
+        first,
         move |page, _is_whole| {
             apply_fleet(&applied, page);
             recall_stored(&registry, &applied.own().node, page);
--- a/tests/testsuite/fleet_store_load.rs
+++ b/tests/testsuite/fleet_store_load.rs
@@ -29,6 +29,7 @@
 use buckthornwinch::sidecar::follow::MEMBER_PREFIX;
 use buckthornwinch::sidecar::follow::apply_fleet;
 use buckthornwinch::sidecar::follow::follow_topic;
+use buckthornwinch::sidecar::start_read::StartRead;
 use buckthornwinch::store::MAX_PAGE_BYTES;
 use buckthornwinch::store::StateStore;
 use buckthornwinch::store::StoreError;
@@ -457,6 +458,7 @@
         store.clone(),
         StoreTopic::Operator,
         Arc::clone(sidecar),
+        StartRead::begin(store, StoreTopic::Operator),
         move |page, _is_whole| {
             for record in &page.records {
                 let version = record.value[..].try_into().expect("eight bytes");
@@ -469,6 +471,7 @@
         store.clone(),
         StoreTopic::Fleet,
         Arc::clone(sidecar),
+        StartRead::begin(store, StoreTopic::Fleet),
         move |page, _is_whole| apply_fleet(&applied, page),
     ));
 }
--- a/tests/testsuite/mesh_store_load.rs
+++ b/tests/testsuite/mesh_store_load.rs
@@ -5,6 +5,7 @@
 use eyre::WrapErr;
 use tokio::time::sleep;
 use winch_standin::sidecar_files::FLEET_TOPIC;
+use winch_standin::sidecar_files::OPERATOR_TOPIC;
 use winch_standin::store_standin::StoreFaults;
 
 use crate::mesh::TestMesh;
@@ -47,3 +48,43 @@
         .wrap_err("with reads again")?;
     mesh.check()
 }
+
+/// Guards against a fleet that starts at once and asks the store for twice what its
+/// bandwidth allows, since each sidecar reads all newest records before and after it
+/// announces itself.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_sidecar_that_starts_reads_the_newest_records_of_each_topic_once() -> eyre::Result<()> {
+    let mut mesh = TestMesh::start(SIDECARS).await?;
+
+    mesh.wait_until_served(0).await.wrap_err("at the start")?;
+
+    let reads = [FLEET_TOPIC, OPERATOR_TOPIC].map(|topic| mesh.store.newest_reads(topic));
+    eyre::ensure!(
+        reads == [u64::from(SIDECARS); 2],
+        "{reads:?} reads of {SIDECARS} sidecars"
+    );
+    mesh.check()
+}
+
+/// Guards against a first read that is given up and repeated when it takes longer than
+/// the start waits for it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_first_read_that_outlasts_the_start_is_used_when_it_arrives() -> eyre::Result<()> {
+    let mut mesh = TestMesh::start(SIDECARS).await?;
+    mesh.wait_until_served(0).await.wrap_err("at the start")?;
+    let before = mesh.store.newest_reads(FLEET_TOPIC);
+    mesh.kill(1);
+    mesh.store.set_faults(StoreFaults {
+        delay: Duration::from_secs(1),
+        ..StoreFaults::default()
+    });
+
+    mesh.restart(1);
+
+    mesh.wait_until_served(1)
+        .await
+        .wrap_err("after a restart beside a slow store")?;
+    let reads = mesh.store.newest_reads(FLEET_TOPIC) - before;
+    eyre::ensure!(reads == 1, "{reads} reads of the newest records");
+    mesh.check()
+}
