fleet: send a peer only what it lacks of the state

Cause: a sidecar that lacks a configuration or the last edit of the map asks a peer for its state, and got all of it: the map and every member, whatever it knew. That grows with the fleet, on the link of one peer that several ask at once.

The asker names the map that it has. The map is left out unless it is newer, and the members if the asker has a map, since they come with the first one. Older sidecars ask with 0 and get all; older ones that are asked ignore the offset and send all.

Evidence: the_state_for_a_sidecar_that_lacks_a_configuration_only... compares the states of 10 and 300 members.

--- a/src/sidecar/fleet.rs
+++ b/src/sidecar/fleet.rs
@@ -78,11 +78,12 @@
 pub struct FleetSnapshot {
     /// The configuration in force; `None` if the sender has none yet.
     pub configuration: Option<RouteConfiguration>,
-    /// The newest range map that the sender knows.
+    /// The newest range map that the sender knows; empty if it is not newer than that of
+    /// the receiver.
     pub map: RangeMap,
-    /// Offset of the map's record; 0 if there is none.
+    /// Offset of the map's record; 0 if it is left out.
     pub map_offset: Offset,
-    /// The known members, including the sender.
+    /// The known members, including the sender; none if the receiver has a map.
     pub members: Vec<MemberRecord>,
     /// The orders to evacuate failure domains.
     pub evacuations: EvacuationOrders,
@@ -465,15 +466,21 @@
             .map_or(0, |matcher| matcher.configuration().version)
     }
 
-    /// Encodes this state as a [`FleetSnapshot`] for a peer; `None` if encoding
-    /// fails.
-    pub fn snapshot(&self) -> Option<Bytes> {
+    /// Encodes this state as a [`FleetSnapshot`] for a peer whose range map has the offset
+    /// `newer_than`; `None` if encoding fails. The map is left out unless it is newer, and
+    /// the members if the peer has a map, as it got their records with its first one.
+    pub fn snapshot(&self, newer_than: Offset) -> Option<Bytes> {
         let view = self.map();
-        let mut members: Vec<MemberRecord> = {
-            let directory = self.directory();
-            directory.peers().map(|peer| peer.member.clone()).collect()
+        let view = if view.offset > newer_than {
+            view
+        } else {
+            MapView::default()
+        };
+        let members = if newer_than == 0 {
+            self.member_records()
+        } else {
+            Vec::new()
         };
-        members.push(self.own.clone());
         let snapshot = FleetSnapshot {
             configuration: self
                 .routes()
@@ -492,6 +499,13 @@
         }
     }
 
+    /// Returns the records of all known members and of this sidecar.
+    fn member_records(&self) -> Vec<MemberRecord> {
+        let directory = self.directory();
+        let others = directory.peers().map(|peer| peer.member.clone());
+        others.chain([self.own.clone()]).collect()
+    }
+
     /// Merges an encoded [`FleetSnapshot`] from a peer; parts that are older
     /// than what is known here are ignored.
     ///
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -387,7 +387,8 @@
 
 /// Fetches the state of `peer` and merges it into `fleet`.
 async fn fetch_state_of(peer: &MemberRecord, fleet: &FleetState, times_behind: u32) {
-    match fetch_encoded_state(peer.address, 0, PEER_FETCH_TIMEOUT).await {
+    let known_map = fleet.map().offset;
+    match fetch_encoded_state(peer.address, known_map, PEER_FETCH_TIMEOUT).await {
         Ok(Some(encoded)) => match fleet.install(&encoded) {
             Ok(()) => {
                 log::info!(peer = &*peer.node; "fleet: caught up from a peer");
--- a/src/sidecar/owner.rs
+++ b/src/sidecar/owner.rs
@@ -391,8 +391,8 @@
         }
     }
 
-    fn newer_state(&self, _above: Offset) -> Option<Bytes> {
-        self.fleet.snapshot()
+    fn newer_state(&self, newer_than: Offset) -> Option<Bytes> {
+        self.fleet.snapshot(newer_than)
     }
 }
 
--- a/tests/testsuite/mesh_catch_up.rs
+++ b/tests/testsuite/mesh_catch_up.rs
@@ -21,6 +21,7 @@
 use buckthornwinch::peers::message::MemberRecord;
 use buckthornwinch::peers::message::PeerReport;
 use buckthornwinch::peers::message::UpstreamGauge;
+use buckthornwinch::ranges::map::RangeHolder;
 use buckthornwinch::ranges::map::RangeMap;
 use buckthornwinch::routes::configuration::CallerLimits;
 use buckthornwinch::routes::configuration::RouteConfiguration;
@@ -57,8 +58,8 @@
         OwnerLoad::default()
     }
 
-    fn newer_state(&self, _newer_than: Offset) -> Option<Bytes> {
-        self.0.snapshot()
+    fn newer_state(&self, newer_than: Offset) -> Option<Bytes> {
+        self.0.snapshot(newer_than)
     }
 }
 
@@ -265,3 +266,55 @@
     assert!(steps.iter().all(|step| step.ask.is_none()), "{steps:?}");
     assert!(steps.iter().any(|step| step.read_operator), "{steps:?}");
 }
+
+/// Returns the size of the state that a sidecar of a fleet sends to one that has its map.
+fn state_size(members: u64) -> usize {
+    let own = FleetState::new(member(members, "127.0.0.1:1".parse().expect("an address")));
+    own.offer_configuration(configuration(NEW_VERSION), "test");
+    let holder = |incarnation: Incarnation| RangeHolder {
+        incarnation,
+        address: "127.0.0.1:2".parse().expect("an address"),
+        service: "catalogue".into(),
+        domain: "zone".into(),
+        term: 1,
+        voters: Vec::new(),
+    };
+    let map = RangeMap {
+        holders: (1..members).map(holder).collect(),
+        services: Vec::new(),
+    };
+    own.offer_map(map, 500);
+    for incarnation in 1..members {
+        let peer = member(incarnation, "127.0.0.1:2".parse().expect("an address"));
+        own.directory().record_member(peer);
+    }
+    own.snapshot(500)
+        .expect("a state that can be encoded")
+        .len()
+}
+
+/// Guards against a configuration that waits behind the range map and all members on the
+/// link of the peer that sends it.
+#[test]
+fn the_state_for_a_sidecar_that_lacks_a_configuration_only_does_not_grow_with_the_fleet() {
+    let of_10 = state_size(10);
+
+    let of_300 = state_size(300);
+
+    assert_eq!(of_300, of_10);
+}
+
+/// Guards against a sidecar that has a map, lacks a newer one and is sent none.
+#[tokio::test]
+async fn a_sidecar_with_an_older_map_gets_the_newer_one_of_a_peer() -> eyre::Result<()> {
+    let own = Arc::new(FleetState::new(member(100, "127.0.0.1:1".parse()?)));
+    own.offer_map(RangeMap::default(), 400);
+    let peer = start_peer(1, NEW_VERSION, 500).await;
+    record_report(&own, &peer, NEW_VERSION, 500);
+
+    tokio::spawn(catch_up(Arc::clone(&own), TimerService));
+
+    wait_for_version(&own).await?;
+    eyre::ensure!(own.map().offset == 500, "{}", own.map().offset);
+    Ok(())
+}
