follow: bound the bytes that a fleet reads of the map together

Each member has an equal part of a quarter of the store's rate, which the settings state. A large page is followed by a long pause, small ones cost hardly any. Starts, and the rest of a read that did not reach the end, do not wait.

What it costs: a sidecar that lacks a map of 100 kB reads it again after 1.5 s at 300 members; it gets edits and peers' states meanwhile.

--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -20,6 +20,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use super::fleet::FleetState;
 use super::quarantine::QUARANTINE_PREFIX;
@@ -43,6 +44,7 @@
 use crate::store::StoreTopic;
 use crate::store::cursor::TopicCursor;
 use crate::store::era::era_of;
+use crate::store::read_pace::ReadPace;
 use crate::transport::state::fetch_encoded_state;
 
 /// Wait of one long poll, the maximum that the store allows. A silent
@@ -101,24 +103,32 @@
 
 /// Reads `topic` until the process ends and passes each page to `apply`, with whether it
 /// has the newest records of all keys instead of those that follow the last page. Begins
-/// with the result of `first`, which was begun before this sidecar announced itself.
+/// with the result of `first`, which was begun before this sidecar announced itself. Reads
+/// of the fleet's topic keep to `read_pace`.
 pub async fn follow_topic<S: StateStore>(
     store: S,
     topic: StoreTopic,
     fleet: Arc<FleetState>,
     first: StartRead,
+    mut read_pace: ReadPace,
     apply: impl Fn(&StorePage, bool),
 ) {
     let mut first = Some(first);
     // Whether the last page was the first one. Members that announced themselves since it
     // was read may not know this sidecar, so that none of their records may be skipped.
     let mut was_first = false;
+    // Whether the last page did not reach the end of the topic.
+    let mut continues = false;
     let mut cursor = TopicCursor::default();
     // When records that were skipped are to be made up for.
     let mut newest_due = Instant::now();
     let mut backoff = RetryBackoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
     loop {
         let is_watcher = topic == StoreTopic::Operator && fleet.is_operator_watcher();
+        let is_first = first.is_some();
+        if topic == StoreTopic::Fleet && !is_first && !was_first && !continues {
+            sleep_until(read_pace.next_at().unwrap_or_else(Instant::now)).await;
+        }
         if cursor.has_skipped() && Instant::now() >= newest_due {
             cursor.reset();
         }
@@ -127,7 +137,6 @@
         } else {
             known_until(topic, &fleet)
         });
-        let is_first = first.is_some();
         // The read that begins now serves all requests so far.
         let _served = fleet.request_read(topic).notified().now_or_never();
         let reading = async {
@@ -155,13 +164,15 @@
                     newest_due = Instant::now() + fleet_read_pause(&fleet);
                 }
                 was_first = is_first;
+                continues = page.next < page.end;
+                read_pace.record(page.size(), fleet.directory().count(), Instant::now());
                 cursor.advance(&page);
                 apply(&page, is_whole);
                 let shows_announced = topic == StoreTopic::Fleet && is_whole && !is_first;
                 if shows_announced && !has_own_member(&fleet, &page) {
                     fleet.announce_request.notify_one();
                 }
-                if page.next >= page.end && !is_first {
+                if !continues && !is_first {
                     pause(topic, &fleet, page.records.is_empty()).await;
                 }
             }
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -54,6 +54,7 @@
 use crate::store::StateStore;
 use crate::store::StoreTopic;
 use crate::store::observed::ObservedStore;
+use crate::store::read_pace::ReadPace;
 use crate::telemetry::request_log::RequestLog;
 use crate::transport::datagram::DatagramSocket;
 use crate::transport::server::OwnerRequestHandler;
@@ -168,8 +169,9 @@
             log,
         );
 
-        follow_operator(&store, &fleet, reads.operator, decoder);
-        follow_fleet(&store, &fleet, reads.fleet, &registry);
+        let pace = ReadPace::new(settings.store_read_rate);
+        follow_operator(&store, &fleet, reads.operator, pace, decoder);
+        follow_fleet(&store, &fleet, reads.fleet, pace, &registry);
         share_state(&store, &fleet, &socket);
         let reports = ReportSender {
             socket: socket.clone(),
@@ -353,6 +355,7 @@
     store: &S,
     fleet: &Arc<FleetState>,
     first: StartRead,
+    pace: ReadPace,
     decoder: D,
 ) {
     let applied = Arc::clone(fleet);
@@ -361,6 +364,7 @@
         StoreTopic::Operator,
         Arc::clone(fleet),
         first,
+        pace,
         move |page, is_whole| apply_operator(&applied, &decoder, page, is_whole),
     ));
 }
@@ -372,6 +376,7 @@
     store: &S,
     fleet: &Arc<FleetState>,
     first: StartRead,
+    pace: ReadPace,
     registry: &LocalUpstreamRegistry,
 ) {
     let member = fleet.own();
@@ -390,6 +395,7 @@
         StoreTopic::Fleet,
         Arc::clone(fleet),
         first,
+        pace,
         move |page, _is_whole| {
             apply_fleet(&applied, page);
             recall_stored(&registry, &applied.own().node, page);
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -10,6 +10,9 @@
 use crate::ranges::lease::LeaseTimes;
 use crate::upstream::cold_start::ColdBound;
 
+/// Rate of a store that does not state its own, in bytes a second.
+const USUAL_STORE_READ_RATE: f64 = 20e6;
+
 /// The settings of one sidecar.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(bon::Builder)]
@@ -49,6 +52,9 @@
     /// Memory and descriptors of the process.
     #[builder(default)]
     pub process_limits: ProcessLimits,
+    /// Bytes a second that the store sends to all its readers together. Default: 20 MB.
+    #[builder(default = USUAL_STORE_READ_RATE)]
+    pub store_read_rate: f64,
 }
 
 /// Number of heartbeats of the upstream in one lease. Grants that travel in
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -12,6 +12,7 @@
 pub mod cursor;
 pub mod era;
 pub mod observed;
+pub mod read_pace;
 
 use std::time::Duration;
 
@@ -54,6 +55,14 @@
     pub end: Offset,
 }
 
+impl StorePage {
+    /// Returns the size of the keys and values, in bytes.
+    pub fn size(&self) -> usize {
+        let sizes = self.records.iter().map(|r| r.key.len() + r.value.len());
+        sizes.sum()
+    }
+}
+
 /// The reason why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreError {
--- a/src/store/observed.rs
+++ b/src/store/observed.rs
@@ -122,8 +122,7 @@
 
     fn record_page(&self, call: &ObservedCall, page: &StorePage) {
         let topic = topic_label(call.topic);
-        let sizes = page.records.iter().map(|r| r.key.len() + r.value.len());
-        let bytes = sizes.sum::<usize>() as u64;
+        let bytes = page.size() as u64;
         let read_bytes = self.metrics.read_bytes.with_label_values(&[topic]);
         read_bytes.inc_by(bytes);
         if !page.records.is_empty() {
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -77,6 +77,15 @@
     assert_eq!(settings.addresses.announcements.port(), 8620);
 }
 
+#[test]
+fn the_rate_of_the_store_is_read_in_megabytes_a_second() {
+    let stated = SETTINGS.replace("10.200.1.7:8627\"", "10.200.1.7:8627\", \"readMbS\": 80.0");
+
+    let settings = parse_settings(&stated).expect("valid settings");
+
+    assert!((settings.sidecar.store_read_rate - 80e6).abs() < 1.0);
+}
+
 #[test]
 fn an_error_names_the_invalid_setting() {
     let faults = [
@@ -84,6 +93,11 @@
         ("\"6s\"", "\"6 hours\"", "bounds.grace"),
         ("10.200.1.7:8627", "store.example", "platform.address"),
         ("[7600, 7615]", "[7615, 7600]", "portRange"),
+        (
+            "10.200.1.7:8627\"",
+            "10.200.1.7:8627\", \"readMbS\": 0",
+            "platform.readMbS",
+        ),
     ];
     for (from, to, field) in faults {
         let error = parse_settings(&SETTINGS.replace(from, to)).expect_err("a fault");
