follow: leave a moment for an edit before the map is read

Cause: after a conflict an owner read the fleet's topic at once, while the edit that it had conflicted with was still on its way to it by datagram. The read returned the whole map, up to 100 kB, for an edit of a kilobyte.

A read that is requested begins 30 ms later and then starts after the newest known map.

A conflict with another record, such as that of a new member, is resolved 30 ms later than before.

--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -71,6 +71,10 @@
 /// the seconds within which a change must take effect.
 const OPERATOR_READ_PAUSE: Duration = Duration::from_millis(150);
 
+/// Time from a request to read the fleet's topic to the read. An edit of the map that is
+/// on its way here by datagram arrives in it, and need not be read.
+const EDIT_ARRIVAL_TIME: Duration = Duration::from_millis(30);
+
 /// Mean pause between two reads of the fleet's topic: a base, and an addition
 /// per member so that a larger fleet does not call the store more often.
 const FLEET_READ_PAUSE: (Duration, Duration) = (Duration::from_secs(8), Duration::from_millis(400));
@@ -232,7 +236,11 @@
     };
     tokio::select! {
         () = sleep(wait) => {}
-        () = fleet.request_read(topic).notified() => {}
+        () = fleet.request_read(topic).notified() => {
+            if topic == StoreTopic::Fleet {
+                sleep(EDIT_ARRIVAL_TIME).await;
+            }
+        }
     }
 }
 
--- a/tests/testsuite/fleet_store_load.rs
+++ b/tests/testsuite/fleet_store_load.rs
@@ -582,6 +582,26 @@
     assert_eq!(reads, 2, "the first read, and one for all requests");
 }
 
+/// Guards against owners that read the whole map after each conflict, though the edit that
+/// they conflicted with arrives by datagram a moment later.
+#[tokio::test(start_paused = true)]
+async fn an_edit_that_arrives_just_after_a_conflict_is_not_read_in_the_store() {
+    let fleet = SimulatedFleet::start(4).await;
+    let base = fleet.sidecars[0].map().offset;
+    let before = fleet.store.state().sent_bytes;
+
+    let at = fleet.put_map();
+    for sidecar in fleet.sidecars.iter() {
+        sidecar.fleet_read_request.notify_one();
+    }
+    sleep(Duration::from_millis(10)).await;
+    deliver_edit(&fleet.sidecars, &fleet.map, base, at);
+    sleep(Duration::from_secs(1)).await;
+
+    let sent = fleet.store.state().sent_bytes - before;
+    assert_eq!(sent, 0, "bytes of records that were known");
+}
+
 /// Returns how many reads of the fleet's topic a fleet begins in a second while the store
 /// refuses them.
 async fn retries_per_second(sidecars: usize) -> u64 {
