catch_up: read the map in the store only without progress

Cause: a sidecar reads the store anew after 3, 6, 12, ... comparisons that show it behind some peer. While the map changes 20 times a second every sidecar is behind at each of them, though edits and peers' states bring it forward all the time; so 300 sidecars read maps of 100 kB in the store that were on their way to them.

The comparisons count for the fleet's topic only while the sidecar's own map stays the same. The operator's topic is read anew as before.

Evidence: a_sidecar_whose_map_makes_progress..., 24 comparisons: 4 reads with progress before, none now; 4 without progress, before and now.

--- a/src/peers/catch_up.rs
+++ b/src/peers/catch_up.rs
@@ -12,15 +12,16 @@
 use super::directory::PeerDirectory;
 use super::message::KnownVersions;
 use super::message::MemberRecord;
+use crate::base::ids::Offset;
 
 /// Number of peers to which a process offers its state when it has a new configuration or
 /// has caught up. Each of them offers it to as many, so that news reaches a fleet of
 /// hundreds within a few steps.
 pub const OFFER_FANOUT: usize = 8;
 
-/// Number of consecutive comparisons that show this process behind after which
-/// it reads the store on a new connection. It does so again each time that this
-/// number has doubled.
+/// Number of consecutive comparisons that show this process behind, and for its map also
+/// without progress, after which it reads the store on a new connection. It does so again
+/// each time that this number has doubled.
 const REREAD_AFTER: u32 = 3;
 
 /// What a process that compares itself with its peers is to do.
@@ -38,6 +39,12 @@
 #[derive(Debug, Clone, Default)]
 pub struct CatchUpPlan {
     times_behind: u32,
+    /// Number of consecutive comparisons that showed this process behind with the same map.
+    /// While the map changes all the time, a process is behind whenever it compares itself,
+    /// though edits and peers' states reach it.
+    times_stalled: u32,
+    /// Offset of the map at the last comparison.
+    last_map: Offset,
 }
 
 impl CatchUpPlan {
@@ -60,22 +67,27 @@
         draw: CatchUpDraw,
     ) -> CatchUpStep {
         let Some(ahead) = directory.choose_ahead(known, now, interval, draw) else {
-            self.times_behind = 0;
+            *self = Self::default();
             return CatchUpStep::default();
         };
         self.times_behind += 1;
+        if known.map > self.last_map {
+            self.times_stalled = 0;
+        }
+        self.times_stalled += 1;
+        self.last_map = known.map;
         // After the first comparison the change may still be on its way here.
         let may_ask = ahead.is_turn && (self.times_behind >= 2 || requested);
-        let is_due = self.is_reread_due();
+        let has_news = ahead.peer.versions().has_operator_news(known);
+        let has_map = ahead.peer.map > known.map;
         CatchUpStep {
             ask: may_ask.then(|| ahead.peer.member.clone()),
-            read_operator: is_due && ahead.peer.versions().has_operator_news(known),
-            read_fleet: may_ask && is_due && ahead.peer.map > known.map,
+            read_operator: has_news && is_reread_due(self.times_behind),
+            read_fleet: has_map && may_ask && is_reread_due(self.times_stalled),
         }
     }
+}
 
-    fn is_reread_due(&self) -> bool {
-        let times = self.times_behind;
-        times.is_multiple_of(REREAD_AFTER) && (times / REREAD_AFTER).is_power_of_two()
-    }
+fn is_reread_due(times: u32) -> bool {
+    times.is_multiple_of(REREAD_AFTER) && (times / REREAD_AFTER).is_power_of_two()
 }
--- a/tests/testsuite/mesh_catch_up.rs
+++ b/tests/testsuite/mesh_catch_up.rs
@@ -318,3 +318,37 @@
     eyre::ensure!(own.map().offset == 500, "{}", own.map().offset);
     Ok(())
 }
+
+/// Returns how often a sidecar reads the map in the store in 24 comparisons, if a peer is
+/// always ahead and the sidecar's own map is newer by `progress` at each of them.
+fn map_reads(progress: Offset) -> usize {
+    let own = FleetState::new(member(2, "127.0.0.1:1".parse().expect("an address")));
+    let peer = member(1, "127.0.0.1:2".parse().expect("an address"));
+    record_report(&own, &peer, 1, 10_000);
+    let draw = CatchUpDraw {
+        member: 0.0,
+        turn: 0.0,
+    };
+    let mut plan = CatchUpPlan::default();
+    let steps = (0..24).map(|comparison| {
+        let known = KnownVersions {
+            configuration: 1,
+            map: 400 + comparison * progress,
+            ..KnownVersions::default()
+        };
+        let interval = Duration::from_secs(1);
+        plan.compare(&own.directory(), known, since_boot(), interval, false, draw)
+    });
+    steps.filter(|step| step.read_fleet).count()
+}
+
+/// Guards against a fleet that reads the map in the store whenever it changes faster than
+/// sidecars compare themselves, though it reaches them by other ways.
+#[test]
+fn a_sidecar_whose_map_makes_progress_does_not_read_it_in_the_store() {
+    let with_progress = map_reads(20);
+
+    let without = map_reads(0);
+
+    assert_eq!((with_progress, without), (0, 4));
+}
