follow: name the kind of the last page

Two flags that excluded each other told what the next read may skip and whether it waits; one enum says so. The simulated store of the fleet's tests moves to a file of its own. No change of behaviour.

--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -105,6 +105,30 @@
     fn decode(&self, bytes: &[u8]) -> eyre::Result<RouteConfiguration>;
 }
 
+/// What kind of page was read last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PageKind {
+    /// The newest records, read before this sidecar announced itself. Members that announced
+    /// themselves since then may not know it, so that the next read skips nothing.
+    First,
+    /// One that does not reach the end of the topic.
+    Partial,
+    /// One that reaches the end of the topic.
+    Complete,
+}
+
+impl PageKind {
+    fn new(page: &StorePage, is_first: bool) -> Self {
+        if is_first {
+            Self::First
+        } else if page.next < page.end {
+            Self::Partial
+        } else {
+            Self::Complete
+        }
+    }
+}
+
 /// Reads `topic` until the process ends and passes each page to `apply`, with whether it
 /// has the newest records of all keys instead of those that follow the last page. Begins
 /// with the result of `first`, which was begun before this sidecar announced itself. Reads
@@ -118,29 +142,24 @@
     apply: impl Fn(&StorePage, bool),
 ) {
     let mut first = Some(first);
-    // Whether the last page was the first one. Members that announced themselves since it
-    // was read may not know this sidecar, so that none of their records may be skipped.
-    let mut was_first = false;
-    // Whether the last page did not reach the end of the topic.
-    let mut continues = false;
+    let mut last_page = None;
     let mut cursor = TopicCursor::default();
     // When records that were skipped are to be made up for.
     let mut newest_due = Instant::now();
     let mut backoff = RetryBackoff::new(RETRY_BACKOFF.0, RETRY_BACKOFF.1);
     loop {
         let is_watcher = topic == StoreTopic::Operator && fleet.is_operator_watcher();
-        let is_first = first.is_some();
-        if topic == StoreTopic::Fleet && !is_first && !was_first && !continues {
+        if topic == StoreTopic::Fleet && last_page == Some(PageKind::Complete) {
             sleep_until(read_pace.next_at().unwrap_or_else(Instant::now)).await;
         }
         if cursor.has_skipped() && Instant::now() >= newest_due {
             cursor.reset();
         }
-        let from = cursor.skip_to(if was_first {
-            0
-        } else {
-            known_until(topic, &fleet)
-        });
+        let from = match last_page {
+            Some(PageKind::First) => cursor.skip_to(0),
+            _ => cursor.skip_to(known_until(topic, &fleet)),
+        };
+        let is_first = first.is_some();
         // The read that begins now serves all requests so far.
         let _served = fleet.request_read(topic).notified().now_or_never();
         let reading = async {
@@ -164,8 +183,8 @@
                 backoff.reset();
                 fleet.observe_era(era_of(page.end));
                 let is_whole = from.is_none();
-                was_first = is_first;
-                continues = page.next < page.end;
+                let kind = PageKind::new(&page, is_first);
+                last_page = Some(kind);
                 cursor.advance(&page);
                 apply(&page, is_whole);
                 // Both depend on the members that the first page shows.
@@ -177,7 +196,7 @@
                 if shows_announced && !has_own_member(&fleet, &page) {
                     fleet.announce_request.notify_one();
                 }
-                if !continues && !is_first {
+                if kind == PageKind::Complete {
                     pause(topic, &fleet, page.records.is_empty()).await;
                 }
             }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -83,6 +83,7 @@
 mod routes;
 mod settings;
 mod shutdown_replay;
+mod simulated_store;
 mod slot_queue;
 mod slot_share;
 mod snapshot;
