--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -62,7 +62,7 @@
 const RETRY_BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(800));
 
 /// Addition to the maximum wait after a failed read of the fleet's topic, per member. A
-/// fleet of any size then retries about as often: its pages grow with the fleet, and the
+/// fleet of any size then retries about as often: its pages grow with the fleet, and a
 /// store that cannot send them in time must not be asked for more of them.
 const FLEET_RETRY_WAIT_PER_MEMBER: Duration = Duration::from_millis(8);
 
